--- /dev/null
+++ b/drill/src/instance.rs
@@ -0,0 +1,293 @@
+//! One instance of the decision module and the small indices it is spoken to in.
+
+use std::collections::HashMap;
+
+use leverpoint::decide::Decider;
+use leverpoint::interface::{
+    Arrival, DispatchEnd, Effect, Ending, Input, Listed, Need, News, Phase, Tenths, Word,
+};
+
+use crate::settings::{self, Opened, down, up};
+use crate::wire::{Event, Fault, Line, Lists, Reply, Request, Response};
+
+/// Ids seen on the wire, each with a small index that is handed out again once let go.
+#[derive(Default)]
+struct Indices<K> {
+    of: HashMap<K, usize>,
+    ids: Vec<K>,
+    free: Vec<usize>,
+}
+
+impl<K: Copy + Eq + std::hash::Hash> Indices<K> {
+    fn index(&mut self, id: K) -> usize {
+        if let Some(&index) = self.of.get(&id) {
+            return index;
+        }
+        let index = match self.free.pop() {
+            Some(index) => {
+                self.ids[index] = id;
+                index
+            }
+            None => {
+                self.ids.push(id);
+                self.ids.len() - 1
+            }
+        };
+        self.of.insert(id, index);
+        index
+    }
+
+    fn let_go(&mut self, index: usize) {
+        if self.of.remove(&self.ids[index]).is_some() {
+            self.free.push(index);
+        }
+    }
+}
+
+/// What is kept of a command for as long as the wire may name it.
+#[derive(Clone, Copy, Default)]
+struct Held {
+    over: bool,
+    out: u32,
+    write: bool,
+}
+
+pub struct Instance {
+    decider: Decider,
+    opened: Opened,
+    servers: Indices<u32>,
+    sets: Indices<u16>,
+    sessions: Indices<u64>,
+    commands: Indices<u32>,
+    held: Vec<Held>,
+    effects: Vec<Effect>,
+    listed: Vec<Listed>,
+}
+
+impl Instance {
+    pub fn open(seed: u64, options: &[u8]) -> Result<Self, Fault> {
+        let opened = settings::read(seed, options)?;
+        Ok(Instance {
+            decider: Decider::new(opened.facts.clone()),
+            opened,
+            servers: Indices::default(),
+            sets: Indices::default(),
+            sessions: Indices::default(),
+            commands: Indices::default(),
+            held: Vec::new(),
+            effects: Vec::new(),
+            listed: Vec::new(),
+        })
+    }
+
+    pub fn take(
+        &mut self,
+        now_ms: f64,
+        event: Event<'_>,
+        lists: &Lists,
+        reply: &mut Reply,
+    ) -> Result<(), Fault> {
+        // Rounded up: what is left of a client's patience is never overrated.
+        let now = up(now_ms);
+        match event {
+            Event::View { bank, form } => {
+                let news = match form {
+                    0 => News::Changes,
+                    1 => News::Whole,
+                    2 => News::Remembered,
+                    _ => News::Failed,
+                };
+                self.listed.clear();
+                if news != News::Failed {
+                    let lines = lists[bank].as_ref();
+                    let lines = lines.ok_or_else(|| Fault::new(format!("news of unknown list {bank}")))?;
+                    for line in lines {
+                        let listed = self.listed(line)?;
+                        self.listed.push(listed);
+                    }
+                }
+                let listed = std::mem::take(&mut self.listed);
+                self.decider.take(now, &Input::List(news, &listed), &mut self.effects);
+                self.listed = listed;
+            }
+            Event::Request(request) => {
+                let arrival = self.arrival(now, request)?;
+                self.decider.take(now, &Input::Arrived(arrival), &mut self.effects);
+            }
+            Event::Response(response) => {
+                let Some(&cmd) = self.commands.of.get(&response.id) else { return Ok(()) };
+                let end = self.ended(cmd, &response)?;
+                self.decider.take(now, &Input::Ended(end), &mut self.effects);
+                let held = &mut self.held[cmd];
+                held.out = held.out.saturating_sub(1);
+                held.over |= response.last;
+                self.perform(reply);
+                self.recycle(cmd);
+            }
+            Event::Hangup(id) => {
+                let Some(&cmd) = self.commands.of.get(&id) else { return Ok(()) };
+                if !self.held[cmd].over {
+                    self.held[cmd].over = true;
+                    self.decider.take(now, &Input::HungUp(cmd), &mut self.effects);
+                }
+                self.perform(reply);
+                self.recycle(cmd);
+            }
+            Event::Due(key) => self.decider.take(now, &Input::Due(key), &mut self.effects),
+            Event::Echo { server, status, load } => {
+                let Some(&server) = self.servers.of.get(&server) else { return Ok(()) };
+                let word = self.reported(&load);
+                let input = Input::Probed { server, ok: status == 200, word };
+                self.decider.take(now, &input, &mut self.effects);
+            }
+            Event::Told { from, payload } => {
+                let input = Input::Told { from: from as usize, bytes: payload };
+                self.decider.take(now, &input, &mut self.effects);
+            }
+            Event::Begun | Event::Select(_) | Event::Open { .. } | Event::List { .. } | Event::Stop => {}
+        }
+        self.perform(reply);
+        Ok(())
+    }
+
+    fn listed(&mut self, line: &Line) -> Result<Listed, Fault> {
+        if !line.boot_ms.is_finite() || !line.share.is_finite() {
+            return Err(Fault::new("a list entry holds a figure that is not a number"));
+        }
+        Ok(Listed {
+            server: self.servers.index(line.server),
+            set: self.sets.index(line.shard),
+            zone: usize::from(line.zone),
+            phase: match line.phase {
+                1 => Phase::Ready,
+                2 => Phase::Draining,
+                _ => Phase::Gone,
+            },
+            primary: line.writer > 0.5,
+            size: f64::from(line.share),
+            started: if line.boot_ms == 0.0 { 0 } else { up(line.boot_ms) },
+        })
+    }
+
+    fn arrival(&mut self, now: Tenths, request: Request) -> Result<Arrival, Fault> {
+        let facts = &self.opened.facts;
+        let group = usize::from(request.class);
+        if group >= facts.groups.len() {
+            return Err(Fault::new(format!("request {} of unknown class {group}", request.id)));
+        }
+        if !request.due_ms.is_finite() || !request.token_age_ms.is_finite() {
+            return Err(Fault::new(format!("request {} holds a time that is not a number", request.id)));
+        }
+        if !(0.0..=65535.0).contains(&request.shard) {
+            return Err(Fault::new(format!("request {} of impossible shard {}", request.id, request.shard)));
+        }
+        if self.commands.of.contains_key(&request.id) {
+            return Err(Fault::new(format!("request {} came twice", request.id)));
+        }
+        let carried = request.token_age_ms > 0.0;
+        let session = (request.key != 0).then(|| self.sessions.index(request.key));
+        let cmd = self.commands.index(request.id);
+        if self.held.len() <= cmd {
+            self.held.resize(cmd + 1, Held::default());
+        }
+        let write = facts.groups[group].need == Need::Write;
+        self.held[cmd] = Held { write, ..Held::default() };
+        Ok(Arrival {
+            cmd,
+            group,
+            customer: request.tenant as usize,
+            set: self.sets.index(request.shard as u16),
+            session,
+            ends: down(request.due_ms),
+            token: carried.then(|| now + 1 - down(f64::from(request.token_age_ms))),
+            repeat: request.bits & 2 != 0,
+        })
+    }
+
+    fn ended(&mut self, cmd: usize, response: &Response) -> Result<DispatchEnd, Fault> {
+        let ending = match response.status {
+            200 => Ending::Answered,
+            204 => Ending::Missed,
+            408 => Ending::TimedOut,
+            409 => Ending::NotSent,
+            429 => Ending::Full,
+            444 => Ending::Cancelled,
+            502 => Ending::Error,
+            520 => Ending::Reset,
+            521 => Ending::NotConnected,
+            other => return Err(Fault::new(format!("unknown ending {other}"))),
+        };
+        let speaks = matches!(response.status, 200 | 204 | 429 | 502);
+        let word = (speaks && response.note & 3 != 0).then(|| {
+            let position = f64::from(response.note >> 2);
+            let known = self.opened.facts.positions || position > 0.0;
+            let commit = self.held[cmd].write && response.status == 200;
+            let rounded = if commit { up } else { down };
+            Word {
+                primary: response.note & 3 == 1,
+                position: known.then(|| rounded(self.opened.zero_ms + position)),
+            }
+        });
+        Ok(DispatchEnd {
+            cmd,
+            nth: u32::from(response.go),
+            server: self.servers.index(response.server),
+            ending,
+            took: up(response.latency_ms),
+            over: response.last,
+            word,
+        })
+    }
+
+    fn reported(&self, load: &[f32]) -> Option<Word> {
+        let field = |place: Option<usize>| load.get(place?).copied();
+        Some(Word {
+            primary: field(self.opened.x1)? > 0.5,
+            position: field(self.opened.x0).map(|s| down(self.opened.zero_ms + f64::from(s) * 1000.0)),
+        })
+    }
+
+    /// Writes the effects out in the order they were decided.
+    fn perform(&mut self, reply: &mut Reply) {
+        for effect in self.effects.drain(..) {
+            match effect {
+                Effect::Dispatch { cmd, server, timeout } => {
+                    let held = &mut self.held[cmd];
+                    held.out += 1;
+                    reply.submit(self.commands.ids[cmd], timeout as f64 / 10.0, self.servers.ids[server]);
+                }
+                Effect::Cancel { cmd, nth } => reply.cancel(self.commands.ids[cmd], nth as u8),
+                Effect::Throttle { cmd, come_back } => {
+                    self.held[cmd].over = true;
+                    reply.refuse(self.commands.ids[cmd], come_back as f64 / 10.0);
+                    recycle(&mut self.commands, &self.held, cmd);
+                }
+                Effect::Fail { cmd } => {
+                    self.held[cmd].over = true;
+                    reply.abort(self.commands.ids[cmd]);
+                    recycle(&mut self.commands, &self.held, cmd);
+                }
+                Effect::Timer { at, key } => reply.arm(at as f64 / 10.0, key),
+                Effect::Probe { server } => reply.touch(self.servers.ids[server]),
+                Effect::Tell { to, bytes } => {
+                    reply.publish(to.map_or(u16::MAX, |peer| peer as u16), &bytes);
+                }
+                Effect::AskList => reply.list_all(),
+                Effect::FollowList(on) => reply.tail(on),
+                Effect::ForgetSession(session) => self.sessions.let_go(session),
+                Effect::Log(text) => reply.log(&text),
+            }
+        }
+    }
+
+    fn recycle(&mut self, cmd: usize) {
+        recycle(&mut self.commands, &self.held, cmd);
+    }
+}
+
+/// A command's index is free once it is over and none of its dispatches is out.
+fn recycle(commands: &mut Indices<u32>, held: &[Held], cmd: usize) {
+    if held[cmd].over && held[cmd].out == 0 {
+        commands.let_go(cmd);
+    }
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,911 @@
+//! Every decision of leverpoint.
+//!
+//! A caller makes one [`Decider`] per gateway from its [`Facts`] and hands it one [`Input`] at a time with
+//! the clock; [`Decider::take`] appends the [`Effect`]s. All types in and out are in `interface.rs`. The path
+//! of a command stands in [`TABLE`]; `step` reads it.
+//!
+//! Mechanisms beside the design (at most six):
+//! 1. room: a command goes to a server only while an answer in time is likely there (`room`);
+//! 2. lines: what finds no room is held and served again by benefit, further dispatches last (`serve`);
+//! 3. quick silence: time-outs shorter than hold plus margin where clients wait less (`patience`);
+//! 4. suspects: silent, failing or full servers return one dispatch at a time (`suspect`);
+//! 5. cold budget: a server that has just started gets its part of a warm server's work (`warm_enough`);
+//! 6. customers' shares: in a shortage, what is beyond a share goes last (`over_share`).
+
+use std::collections::VecDeque;
+
+use crate::interface::*;
+
+const MS: Tenths = 10;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    New,
+    Lined,
+    Held,
+    Out,
+    Over,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Seen {
+    Arrived,
+    Turn,
+    Sent,
+    NoRoom,
+    Hopeless,
+    Answered,
+    NeverRan,
+    Unclear,
+    HungUp,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Act {
+    Rest,
+    JoinFirst,
+    JoinFurther,
+    Place,
+    Hold,
+    GiveUp,
+}
+
+/// State, what is seen, next state, what is done. What is done may itself be seen and read again.
+const TABLE: [(State, Seen, State, Act); 13] = [
+    (State::New, Seen::Arrived, State::Lined, Act::JoinFirst),
+    (State::Lined, Seen::Turn, State::Lined, Act::Place),
+    (State::Held, Seen::Turn, State::Lined, Act::Place),
+    (State::Lined, Seen::Sent, State::Out, Act::Rest),
+    (State::Lined, Seen::NoRoom, State::Held, Act::Hold),
+    (State::Lined, Seen::Hopeless, State::Over, Act::GiveUp),
+    (State::Out, Seen::Answered, State::Over, Act::Rest),
+    (State::Out, Seen::NeverRan, State::Lined, Act::JoinFurther),
+    (State::Out, Seen::Unclear, State::Lined, Act::JoinFurther),
+    (State::Lined, Seen::HungUp, State::Over, Act::Rest),
+    (State::Held, Seen::HungUp, State::Over, Act::Rest),
+    (State::Out, Seen::HungUp, State::Over, Act::Rest),
+    (State::Over, Seen::HungUp, State::Over, Act::Rest),
+];
+
+/// Few coarse bins, each half as wide again as the one before; halved now and then.
+#[derive(Clone, Default)]
+struct Histogram {
+    bins: [u32; 16],
+    total: u32,
+}
+
+impl Histogram {
+    /// Top of the lowest bin: 4 ms, or 40 %; the highest then begins at 1.2 s, or 117 times.
+    const LOWEST: i64 = 40;
+
+    fn top(bin: usize) -> i64 {
+        (0..bin).fold(Self::LOWEST, |top, _| top * 3 / 2)
+    }
+
+    fn note(&mut self, value: i64, keep: u32) {
+        let bin = (0..15).find(|&bin| value <= Self::top(bin)).unwrap_or(15);
+        self.bins[bin] += 1;
+        self.total += 1;
+        if self.total > keep {
+            self.halve();
+        }
+    }
+
+    fn halve(&mut self) {
+        self.bins.iter_mut().for_each(|n| *n /= 2);
+        self.total = self.bins.iter().sum();
+    }
+
+    /// The value that `percent` of what was noted stay under.
+    fn quantile(&self, percent: u32) -> Option<i64> {
+        let mut left = (self.total * percent).div_ceil(100);
+        for (bin, &n) in self.bins.iter().enumerate() {
+            if n > 0 && n >= left {
+                return Some(Self::top(bin));
+            }
+            left -= n.min(left);
+        }
+        None
+    }
+
+    fn mean(&self) -> Option<i64> {
+        let sum: i64 = (0..16).map(|bin| i64::from(self.bins[bin]) * Self::top(bin) * 5 / 6).sum();
+        (self.total > 0).then(|| sum / i64::from(self.total))
+    }
+}
+
+/// What differs by command group.
+struct Group {
+    need: Need,
+    effect: Effects,
+    target: Tenths,
+    late: bool,
+    benefit: f64,
+    took: Histogram,
+}
+
+impl Group {
+    fn typical(&self) -> Tenths {
+        // Before anything is measured: a quarter of the target, as a deployment that could not do that
+        // would have asked for a later one.
+        self.took.quantile(50).unwrap_or(self.target / 4).max(MS)
+    }
+
+    fn density(&self) -> f64 {
+        self.benefit / self.typical() as f64
+    }
+}
+
+struct Server {
+    set: usize,
+    slot: u32,
+    zone: usize,
+    phase: Phase,
+    drained: bool,
+    size: f64,
+    started: Tenths,
+    listed_primary: bool,
+    /// When an answer last said which role it has.
+    word_at: Option<Tenths>,
+    /// When it was last asked whether it is the primary.
+    asked_at: Option<Tenths>,
+    position: Option<Tenths>,
+    in_flight: u32,
+    heard: Tenths,
+    /// Since when it owes an answer with nothing heard.
+    owing: Option<Tenths>,
+    skipped_till: Tenths,
+    behind_till: Tenths,
+    suspect: bool,
+    slowness: Histogram,
+    depth: Histogram,
+    errors: u32,
+    answers: u32,
+    halved: Tenths,
+    budget: f64,
+    budget_at: Tenths,
+}
+
+#[derive(Default)]
+struct Set {
+    members: Vec<usize>,
+    primary: Option<usize>,
+    /// Whether an answer (not the list) named the primary, and when.
+    said_at: Option<Tenths>,
+    /// Sessions forgotten here must still see this.
+    floor: Tenths,
+}
+
+struct Command {
+    state: State,
+    group: usize,
+    set: usize,
+    session: Option<usize>,
+    token: Option<Tenths>,
+    came: Tenths,
+    ends: Tenths,
+    over_share: bool,
+    repeat: bool,
+    dispatches: u32,
+    further: bool,
+    missed: u64,
+    /// When the first dispatch that may have run was sent.
+    doubt: Option<Tenths>,
+    doubt_zone: usize,
+    out: Vec<Out>,
+}
+
+#[derive(Clone, Copy)]
+struct Out {
+    nth: u32,
+    server: usize,
+    sent: Tenths,
+    depth: u32,
+}
+
+struct Customer {
+    share: f64,
+    came: f64,
+}
+
+pub struct Decider {
+    facts: Facts,
+    rng: fastrand::Rng,
+    now: Tenths,
+    groups: Vec<Group>,
+    customers: Vec<Customer>,
+    servers: Vec<Option<Server>>,
+    sets: Vec<Set>,
+    cmds: Vec<Command>,
+    first: VecDeque<usize>,
+    further: VecDeque<usize>,
+    held: Vec<usize>,
+    tokens: Vec<Tenths>,
+    wrote: VecDeque<(usize, usize, Tenths)>,
+    armed: bool,
+    halved: Tenths,
+    /// Work sent to warm servers of late, in tenths of a millisecond; halved every second.
+    warm_work: f64,
+    follow_at: Option<Tenths>,
+}
+
+impl Decider {
+    pub fn new(facts: Facts) -> Self {
+        let groups = facts.groups.iter().map(|g| Group {
+            need: g.need,
+            effect: g.effect,
+            target: g.target,
+            late: g.late > 0.0,
+            benefit: g.benefit,
+            took: Histogram::default(),
+        });
+        Decider {
+            rng: fastrand::Rng::with_seed(facts.seed),
+            now: 0,
+            groups: groups.collect(),
+            customers: facts.customers.iter().map(|c| Customer { share: c.share, came: 0.0 }).collect(),
+            servers: Vec::new(),
+            sets: Vec::new(),
+            cmds: Vec::new(),
+            first: VecDeque::new(),
+            further: VecDeque::new(),
+            held: Vec::new(),
+            tokens: Vec::new(),
+            wrote: VecDeque::new(),
+            armed: false,
+            halved: 0,
+            warm_work: 0.0,
+            follow_at: (!facts.list.pushed).then_some(Tenths::MIN),
+            facts,
+        }
+    }
+
+    /// Takes one input at the time `now` and appends what is to be done.
+    pub fn take(&mut self, now: Tenths, input: &Input<'_>, out: &mut Vec<Effect>) {
+        self.now = self.now.max(now);
+        self.fade();
+        match input {
+            Input::List(news, entries) => self.list(*news, entries, out),
+            Input::Arrived(arrival) => self.arrived(arrival, out),
+            Input::Ended(end) => self.ended(end, out),
+            Input::HungUp(cmd) => self.step(*cmd, Seen::HungUp, out),
+            Input::Due(_) => {
+                self.armed = false;
+                self.recall();
+            }
+            Input::Probed { server, ok, word } => {
+                if *ok {
+                    self.heard(*server, *word, out);
+                }
+            }
+            Input::Told { .. } => {}
+        }
+        self.follow(out);
+        self.serve(out);
+    }
+
+    fn step(&mut self, cmd: usize, seen: Seen, out: &mut Vec<Effect>) {
+        let mut next = Some(seen);
+        while let Some(seen) = next {
+            let state = self.cmds[cmd].state;
+            let Some(row) = TABLE.iter().find(|row| row.0 == state && row.1 == seen) else { return };
+            self.cmds[cmd].state = row.2;
+            next = match row.3 {
+                Act::Rest => None,
+                Act::JoinFirst => {
+                    self.first.push_back(cmd);
+                    None
+                }
+                Act::JoinFurther => {
+                    self.cmds[cmd].further = true;
+                    self.further.push_back(cmd);
+                    None
+                }
+                Act::Place => Some(self.place(cmd, out)),
+                Act::Hold => {
+                    self.held.push(cmd);
+                    None
+                }
+                Act::GiveUp => {
+                    self.give_up(cmd, out);
+                    None
+                }
+            };
+        }
+    }
+
+    fn arrived(&mut self, a: &Arrival, out: &mut Vec<Effect>) {
+        let token = match self.facts.token {
+            Token::Carried => a.token,
+            Token::Remembered => a.session.map(|s| {
+                let floor = self.set(a.set).floor;
+                self.tokens.get(s).map_or(floor, |&t| t.max(floor))
+            }),
+        };
+        let over_share = self.over_share(a.customer);
+        let fresh = Command {
+            state: State::New,
+            group: a.group,
+            set: a.set,
+            session: a.session,
+            token: token.filter(|&t| t > 0),
+            came: self.now,
+            ends: a.ends,
+            over_share,
+            repeat: a.repeat,
+            dispatches: 0,
+            further: false,
+            missed: 0,
+            doubt: None,
+            doubt_zone: 0,
+            out: Vec::new(),
+        };
+        self.set(a.set);
+        if a.cmd < self.cmds.len() {
+            self.cmds[a.cmd] = fresh;
+        } else {
+            debug_assert_eq!(a.cmd, self.cmds.len());
+            self.cmds.push(fresh);
+        }
+        self.step(a.cmd, Seen::Arrived, out);
+    }
+
+    /// Guards against one customer's surge pushing out the others; acts only where room is short. Harm: a
+    /// gateway that serves mostly one customer marks part of its commands though the share is kept.
+    fn over_share(&mut self, customer: usize) -> bool {
+        let total: f64 = self.customers.iter().map(|c| c.came).sum();
+        let Some(c) = self.customers.get_mut(customer) else { return false };
+        c.came += 1.0;
+        let excess = 1.0 - c.share * (total + 1.0) / c.came;
+        self.rng.f64() < excess
+    }
+
+    fn ended(&mut self, e: &DispatchEnd, out: &mut Vec<Effect>) {
+        let Some(cmd) = self.cmds.get_mut(e.cmd) else { return };
+        let Some(at) = cmd.out.iter().position(|o| o.nth == e.nth) else { return };
+        let sent = cmd.out.swap_remove(at);
+        let (group, set, session) = (cmd.group, cmd.set, cmd.session);
+        if !e.ending.never_ran() && cmd.doubt.is_none() {
+            cmd.doubt = Some(sent.sent);
+            cmd.doubt_zone = self.servers[sent.server].as_ref().map_or(0, |s| s.zone);
+        }
+        if e.ending == Ending::Missed
+            && let Some(s) = &self.servers[sent.server]
+        {
+            cmd.missed |= 1 << s.slot;
+        }
+        let still_out = !cmd.out.is_empty();
+        self.account(e, &sent, group, out);
+        let write = self.groups[group].need == Need::Write;
+        if let (true, Ending::Answered, Some(s), Some(Word { position: Some(p), .. })) =
+            (write, e.ending, session, e.word)
+        {
+            self.remember(s, set, p);
+        }
+        let seen = match e.ending {
+            _ if e.over => Seen::HungUp,
+            Ending::Answered => Seen::Answered,
+            _ if still_out => return,
+            ending if ending.never_ran() => Seen::NeverRan,
+            _ => Seen::Unclear,
+        };
+        self.step(e.cmd, seen, out);
+        self.forget(out);
+    }
+
+    /// What the end of a dispatch says of its server.
+    fn account(&mut self, e: &DispatchEnd, sent: &Out, group: usize, out: &mut Vec<Effect>) {
+        let now = self.now;
+        let hold = self.hold();
+        let typical = self.groups[group].typical();
+        let Some(s) = self.servers[sent.server].as_mut() else { return };
+        s.in_flight = s.in_flight.saturating_sub(1);
+        let unheard = s.heard <= sent.sent;
+        match e.ending {
+            Ending::Answered => {
+                self.groups[group].took.note(e.took, 256);
+                // Twelve: enough for a mean, few enough to follow a stall within a second.
+                s.slowness.note(e.took * 100 / typical, 12);
+                s.depth.note(i64::from(sent.depth) * 100, 12);
+                s.answers += 1;
+            }
+            Ending::Error => s.errors += 1,
+            Ending::Missed if hold > 0 && e.took >= hold && !matches!(e.word, Some(w) if w.primary) => {
+                s.behind_till = now + PASS_OVER;
+            }
+            _ => {}
+        }
+        match e.ending {
+            Ending::Answered | Ending::Error | Ending::Full | Ending::Missed => {
+                self.heard(sent.server, e.word, out);
+            }
+            Ending::TimedOut | Ending::NotConnected | Ending::Reset if unheard => {
+                self.suspect(sent.server, PASS_OVER, "silent", out);
+            }
+            _ => {}
+        }
+        let Some(s) = self.servers[sent.server].as_ref() else { return };
+        // A third: well above the error rates of a sound server, below those of one that hurts.
+        if e.ending == Ending::Error && s.errors >= 3 && s.errors * 2 > s.answers {
+            self.suspect(sent.server, PASS_OVER / 5, "failing", out);
+        } else if e.ending == Ending::Full {
+            self.suspect(sent.server, PASS_OVER / 25, "full", out);
+        }
+    }
+
+    /// Guards against servers that are gone, hung, cut off, failing or full, whatever the cause: skipped for
+    /// a while, then tried with one dispatch at a time until heard. Harm: a server that stalls briefly
+    /// loses its share for the window.
+    fn suspect(&mut self, server: usize, window: Tenths, why: &str, out: &mut Vec<Effect>) {
+        let now = self.now;
+        let Some(s) = self.servers[server].as_mut() else { return };
+        let known = s.suspect && s.skipped_till > now;
+        s.skipped_till = s.skipped_till.max(now + window);
+        s.suspect = true;
+        let set = s.set;
+        if !known {
+            out.push(Effect::Log(format!("server {server} passed over: {why}")));
+        }
+        if why == "silent" && self.sets[set].primary == Some(server) {
+            self.sets[set].primary = None;
+            out.push(Effect::Log(format!("set {set}: primary {server} is silent, now unknown")));
+        }
+    }
+
+    fn heard(&mut self, server: usize, word: Option<Word>, out: &mut Vec<Effect>) {
+        let now = self.now;
+        let Some(s) = self.servers.get_mut(server).and_then(|s| s.as_mut()) else { return };
+        s.heard = now;
+        s.owing = (s.in_flight > 0).then_some(now);
+        if s.skipped_till <= now {
+            s.suspect = false;
+        }
+        let Some(word) = word else { return };
+        s.word_at = Some(now);
+        s.position = s.position.max(word.position);
+        let set = &mut self.sets[s.set];
+        if word.primary {
+            set.said_at = Some(now);
+            if set.primary != Some(server) {
+                set.primary = Some(server);
+                out.push(Effect::Log(format!("set {}: primary is {server}", s.set)));
+                self.recall();
+            }
+        } else if set.primary == Some(server) {
+            set.primary = None;
+            out.push(Effect::Log(format!("set {}: {server} is no longer primary", s.set)));
+        }
+    }
+
+    fn list(&mut self, news: News, entries: &[Listed], out: &mut Vec<Effect>) {
+        if news == News::Failed {
+            // A second: the list is one service for all gateways and may be overrun.
+            self.follow_at = (!self.facts.list.pushed).then_some(self.now + 1000 * MS);
+            return;
+        }
+        if news != News::Changes {
+            for s in self.servers.iter_mut().flatten() {
+                s.phase = Phase::Gone;
+            }
+        }
+        for e in entries {
+            self.listed(e, out);
+        }
+        self.recall();
+    }
+
+    fn listed(&mut self, e: &Listed, out: &mut Vec<Effect>) {
+        if self.servers.len() <= e.server {
+            self.servers.resize_with(e.server + 1, || None);
+        }
+        self.set(e.set);
+        let now = self.now;
+        if self.servers[e.server].is_none() {
+            let slot = self.sets[e.set].members.len() as u32 % 64;
+            self.sets[e.set].members.push(e.server);
+            self.servers[e.server] = Some(Server {
+                set: e.set,
+                slot,
+                zone: e.zone,
+                phase: e.phase,
+                drained: false,
+                size: e.size,
+                started: e.started,
+                listed_primary: false,
+                word_at: None,
+                asked_at: None,
+                position: None,
+                in_flight: 0,
+                heard: now,
+                owing: None,
+                skipped_till: 0,
+                behind_till: 0,
+                suspect: false,
+                slowness: Histogram::default(),
+                depth: Histogram::default(),
+                errors: 0,
+                answers: 0,
+                halved: now,
+                budget: 0.0,
+                budget_at: now,
+            });
+        }
+        let Some(s) = self.servers[e.server].as_mut() else { return };
+        if e.started > s.started {
+            s.started = e.started;
+            (s.skipped_till, s.behind_till, s.suspect) = (0, 0, false);
+            (s.budget, s.budget_at) = (0.0, now);
+        }
+        s.phase = e.phase;
+        s.drained |= e.phase == Phase::Draining;
+        s.size = e.size;
+        let newly = e.primary && !s.listed_primary;
+        s.listed_primary = e.primary;
+        let refuted = s.word_at.is_some();
+        let set = &mut self.sets[e.set];
+        // The list is late: it names a primary only where no answer has spoken since, or where it changes
+        // its own word and answers have been still for longer than a list is late (ten seconds).
+        let still = set.said_at.is_none_or(|at| now - at > 10_000 * MS);
+        if e.primary
+            && e.phase == Phase::Ready
+            && set.primary != Some(e.server)
+            && (newly || !refuted)
+            && still
+        {
+            set.primary = Some(e.server);
+            out.push(Effect::Log(format!("set {}: list names primary {}", e.set, e.server)));
+        }
+        if e.phase != Phase::Ready && set.primary == Some(e.server) {
+            set.primary = None;
+        }
+    }
+
+    /// A list that comes only when asked for is followed, and asked for again after a failure.
+    fn follow(&mut self, out: &mut Vec<Effect>) {
+        if self.follow_at.is_some_and(|at| at <= self.now) {
+            self.follow_at = None;
+            out.push(Effect::FollowList(true));
+        }
+        if self.follow_at.is_some() {
+            self.arm(out);
+        }
+    }
+
+    fn set(&mut self, set: usize) -> &mut Set {
+        if self.sets.len() <= set {
+            self.sets.resize_with(set + 1, Set::default);
+        }
+        &mut self.sets[set]
+    }
+
+    fn remember(&mut self, session: usize, set: usize, position: Tenths) {
+        if self.tokens.len() <= session {
+            self.tokens.resize(session + 1, 0);
+        }
+        self.tokens[session] = self.tokens[session].max(position);
+        self.wrote.push_back((session, set, position));
+    }
+
+    /// Old tokens are forgotten, never what they stand for: the set's floor keeps the newest of them.
+    fn forget(&mut self, out: &mut Vec<Effect>) {
+        // Half a minute: past every usual lag, so the floor costs nothing; 50,000 bounds the memory.
+        while let Some(&(session, set, position)) = self.wrote.front()
+            && (self.now - position > 30_000 * MS || self.wrote.len() > 50_000)
+        {
+            self.wrote.pop_front();
+            if self.tokens[session] == position {
+                self.tokens[session] = 0;
+                self.sets[set].floor = self.sets[set].floor.max(position);
+                out.push(Effect::ForgetSession(session));
+            }
+        }
+    }
+
+    fn hold(&self) -> Tenths {
+        if let Check::Hold(t) = self.facts.check { t } else { 0 }
+    }
+
+    /// Halves what was measured, so that the past fades.
+    fn fade(&mut self) {
+        let now = self.now;
+        if now - self.halved >= 1000 * MS {
+            self.halved = now;
+            self.warm_work /= 2.0;
+            self.customers.iter_mut().for_each(|c| c.came *= 0.7);
+        }
+        for s in self.servers.iter_mut().flatten().filter(|s| now - s.halved >= 500 * MS) {
+            s.halved = now;
+            s.slowness.halve();
+            s.depth.halve();
+            s.errors /= 2;
+            s.answers /= 2;
+        }
+    }
+
+    fn arm(&mut self, out: &mut Vec<Effect>) {
+        if !self.armed {
+            self.armed = true;
+            // 10 ms: far below any target, and cheap.
+            out.push(Effect::Timer { at: self.now + self.facts.grain.max(10 * MS), key: 0 });
+        }
+    }
+
+    /// Held commands join their lines again, most benefit per work first.
+    fn recall(&mut self) {
+        let mut held = std::mem::take(&mut self.held);
+        held.sort_by(|&a, &b| {
+            self.rank(b).total_cmp(&self.rank(a)).then(self.cmds[a].came.cmp(&self.cmds[b].came))
+        });
+        for cmd in held {
+            if self.cmds[cmd].state == State::Held {
+                if self.cmds[cmd].further { &mut self.further } else { &mut self.first }.push_back(cmd);
+            }
+        }
+    }
+
+    /// First dispatches, then further ones.
+    fn serve(&mut self, out: &mut Vec<Effect>) {
+        while let Some(cmd) = self.first.pop_front().or_else(|| self.further.pop_front()) {
+            self.step(cmd, Seen::Turn, out);
+        }
+        if !self.held.is_empty() {
+            self.arm(out);
+        }
+    }
+
+    /// Benefit per work against the best of all groups.
+    fn rank(&self, cmd: usize) -> f64 {
+        let c = &self.cmds[cmd];
+        let best = self.groups.iter().map(Group::density).fold(0.0, f64::max);
+        let mut rank = self.groups[c.group].density() / best.max(f64::MIN_POSITIVE);
+        if c.over_share {
+            rank *= self.facts.over_share;
+        }
+        // A repeat has used up part of its target already.
+        if c.repeat { rank * 0.7 } else { rank }
+    }
+
+    fn place(&mut self, cmd: usize, out: &mut Vec<Effect>) -> Seen {
+        let c = &self.cmds[cmd];
+        let g = &self.groups[c.group];
+        let left = c.ends - self.now - 2 * self.facts.grain;
+        let target_left = c.came + g.target - self.now;
+        if left <= 0
+            || c.dispatches >= self.facts.allowed.dispatches
+            || (!g.late && target_left < g.typical() / 2)
+            || !self.may_go_again(c, left)
+        {
+            return Seen::Hopeless;
+        }
+        let owed = match g.need {
+            Need::Session => c.token,
+            Need::Bounded(bound) => Some(self.now - bound),
+            _ => None,
+        };
+        let found = match g.need {
+            Need::Write | Need::Fresh => self.primary(cmd),
+            _ => self.pick(cmd, owed).or_else(|| self.overflow(cmd, owed)),
+        };
+        let Some(server) = found else { return Seen::NoRoom };
+        let timeout = self.patience(cmd, left);
+        self.send(cmd, server, timeout, out);
+        Seen::Sent
+    }
+
+    /// Whether the rule on double effects lets the command be dispatched once more.
+    fn may_go_again(&self, c: &Command, _left: Tenths) -> bool {
+        match (c.doubt, self.groups[c.group].effect) {
+            (None, _) | (_, Effects::Replayable) => true,
+            (_, Effects::Mutating) => false,
+            // The window runs from the first dispatch that may have run; a tick is kept in hand.
+            (Some(at), Effects::Keyed { window, .. }) => self.now - at < window - self.facts.grain,
+        }
+    }
+
+    fn live(&self, server: usize) -> Option<&Server> {
+        let s = self.servers.get(server)?.as_ref()?;
+        let barred = match s.phase {
+            Phase::Ready => false,
+            Phase::Draining => true,
+            Phase::Gone => !self.facts.guard.only_draining_bars || s.drained,
+        };
+        (!barred).then_some(s)
+    }
+
+    /// Our pick: the unskipped replica with fewest in flight among those known to cover what is owed, else
+    /// the least loaded of those nearest to it. After a miss only one known to cover.
+    fn pick(&mut self, cmd: usize, owed: Option<Tenths>) -> Option<usize> {
+        let c = &self.cmds[cmd];
+        let set = &self.sets[c.set];
+        let mut best: Option<((i64, u32, bool, u32), usize)> = None;
+        for &m in &set.members {
+            let Some(s) = self.live(m) else { continue };
+            let skipped = s.skipped_till > self.now
+                || (s.suspect && s.in_flight > 0)
+                || (owed.is_some() && s.behind_till > self.now);
+            if set.primary == Some(m) || skipped || c.missed & (1 << s.slot) != 0 || !self.room(cmd, m) {
+                continue;
+            }
+            let short = match (owed, s.position) {
+                (None, _) => 0,
+                (Some(owed), Some(p)) if p >= owed => 0,
+                // Coarse steps, so that those about as near are told apart by load.
+                (Some(owed), Some(p)) => 2 + i64::from(((owed - p) / (100 * MS)).max(1).ilog2()),
+                (Some(_), None) => 2,
+            };
+            if short > 0 && (c.missed != 0 || self.facts.check == Check::None) {
+                continue;
+            }
+            let key = (short, s.in_flight, s.zone != self.facts.zone, self.rng.u32(..));
+            if best.is_none_or(|(k, _)| key < k) {
+                best = Some((key, m));
+            }
+        }
+        best.map(|(_, m)| m)
+    }
+
+    /// A read that no replica takes goes to the primary, where there is room for it.
+    fn overflow(&mut self, cmd: usize, owed: Option<Tenths>) -> Option<usize> {
+        let p = self.sets[self.cmds[cmd].set].primary?;
+        let s = self.live(p)?;
+        let unsure = owed.is_some() && self.facts.check == Check::None && s.word_at.is_none();
+        (!unsure && self.room(cmd, p)).then_some(p)
+    }
+
+    /// The primary as last said; while it is unknown, the members in turn, each asked once in a while.
+    fn primary(&mut self, cmd: usize) -> Option<usize> {
+        let c = &self.cmds[cmd];
+        let set = &self.sets[c.set];
+        if let Some(p) = set.primary {
+            return (self.live(p).is_some() && self.room(cmd, p)).then_some(p);
+        }
+        if c.dispatches * 2 >= self.facts.allowed.dispatches {
+            return None;
+        }
+        let fresh_read_unchecked =
+            self.groups[c.group].need == Need::Fresh && self.facts.check == Check::None;
+        if fresh_read_unchecked {
+            return None;
+        }
+        // A member that said 'replica' is asked again after a third of a second: an election takes longer.
+        let now = self.now;
+        let recent = |at: Option<Tenths>| at.is_some_and(|at| now - at < 300 * MS);
+        let turn = set.members.iter().copied().filter(|&m| {
+            self.live(m).is_some_and(|s| {
+                c.missed & (1 << s.slot) == 0
+                    && !recent(s.word_at)
+                    && !recent(s.asked_at)
+                    && !(s.skipped_till > now && s.in_flight > 0)
+                    && self.warm_enough(cmd, m)
+            })
+        });
+        let next = turn.min_by_key(|&m| {
+            let s = self.servers[m].as_ref();
+            s.map(|s| (s.skipped_till > now, s.asked_at, m))
+        });
+        if let Some(s) = next.and_then(|m| self.servers[m].as_mut()) {
+            s.asked_at = Some(now);
+        }
+        next
+    }
+
+    /// How long an answer from this server is likely to take.
+    fn expected(&self, group: usize, s: &Server) -> Tenths {
+        let typical = self.groups[group].typical();
+        let slow = s.slowness.mean().unwrap_or(100).max(50);
+        // Deeper than when this was measured, by more than two: as much slower.
+        let depth = i64::from(s.in_flight + 1) * 100;
+        let usual = s.depth.mean().unwrap_or(depth) + 200;
+        let took = typical * slow / 100 * depth.max(usual) / usual;
+        took.max(s.owing.map_or(0, |since| self.now - since))
+    }
+
+    /// Guards against queues that make every answer late, whatever fills them: overflow of reads to the
+    /// primary, a surge, a slow server, a flood after a change of primary. Groups with less benefit per work
+    /// stay out first. Harm: a wrong measure keeps a sound server idle until it has faded (a second).
+    fn room(&self, cmd: usize, server: usize) -> bool {
+        let Some(s) = self.servers[server].as_ref() else { return false };
+        let c = &self.cmds[cmd];
+        let g = &self.groups[c.group];
+        let left = c.came + g.target - self.now;
+        // Past its target a command takes only room that is surely spare.
+        let left = if left > 0 { left } else { g.target / 2 };
+        // From half of the time left for the least to all of it for the most benefit per work.
+        let limit = left as f64 * (0.5 + 0.5 * self.rank(cmd));
+        (self.expected(c.group, s) as f64) <= limit && self.warm_enough(cmd, server)
+    }
+
+    fn coldness(&self, s: &Server) -> Option<f64> {
+        let g = &self.facts.guard;
+        let age = self.now - s.started;
+        (s.started > 0 && age < g.cold_time)
+            .then(|| g.cold_share + (1.0 - g.cold_share) * (age.max(0) as f64 / g.cold_time as f64))
+    }
+
+    fn work(&self, group: usize) -> f64 {
+        // 10 ms more for a handshake or being turned away.
+        (self.groups[group].typical() + 10 * MS) as f64
+    }
+
+    /// Guards a cold server: it gets its part of what a warm one gets from this gateway, so that all
+    /// gateways together stay under what it can do. Harm: where all servers are cold, little is sent.
+    fn warm_enough(&self, cmd: usize, server: usize) -> bool {
+        let Some(s) = self.servers[server].as_ref() else { return false };
+        let Some(part) = self.coldness(s) else { return true };
+        let (rate, burst) = self.cold_rate(s, part);
+        let budget = (s.budget + rate * (self.now - s.budget_at) as f64).min(burst);
+        // What only the primary can take may use more of the multiple.
+        let needed = matches!(self.groups[self.cmds[cmd].group].need, Need::Write | Need::Fresh);
+        budget >= if needed { -burst * (self.facts.guard.fall_multiple - 1.0) / 2.0 } else { 0.0 }
+    }
+
+    /// Work a tenth of a millisecond that a cold server may get, and how much at once.
+    fn cold_rate(&self, s: &Server, part: f64) -> (f64, f64) {
+        let warm =
+            self.servers.iter().flatten().filter(|o| o.phase == Phase::Ready && self.coldness(o).is_none());
+        let size: f64 = warm.map(|o| o.size).sum();
+        // Halved every second, the sum stands for two seconds less a third on the mean.
+        let rate = self.warm_work / 15_000.0 * s.size / size.max(s.size) * part;
+        (rate, rate * self.facts.guard.fall_time as f64 / 4.0)
+    }
+
+    /// Hold plus margin, or what the client's target leaves when that is less: two in three of the time
+    /// left, and more where answers usually take longer. Acts where targets are nearer than hold plus margin.
+    fn patience(&self, cmd: usize, left: Tenths) -> Tenths {
+        let c = &self.cmds[cmd];
+        let g = &self.groups[c.group];
+        let target_left = c.came + g.target - self.now;
+        let aimed = if target_left > 0 { target_left } else { left };
+        let usual = g.took.quantile(95).unwrap_or(g.target / 2) * 2;
+        let wait = usual.clamp(aimed / 2, aimed.max(1));
+        wait.min(self.hold() + MARGIN).min(left).max(1)
+    }
+
+    fn send(&mut self, cmd: usize, server: usize, timeout: Tenths, out: &mut Vec<Effect>) {
+        let now = self.now;
+        let work = self.work(self.cmds[cmd].group);
+        let (part, grant) = match self.servers[server].as_ref() {
+            Some(s) => {
+                let part = self.coldness(s);
+                (part, part.map(|part| self.cold_rate(s, part)))
+            }
+            None => return,
+        };
+        let Some(s) = self.servers[server].as_mut() else { return };
+        if let Some((rate, burst)) = grant {
+            s.budget = (s.budget + rate * (now - s.budget_at) as f64).min(burst) - work;
+        }
+        s.budget_at = now;
+        s.owing = s.owing.or(Some(now));
+        let c = &mut self.cmds[cmd];
+        c.out.push(Out { nth: c.dispatches, server, sent: now, depth: s.in_flight });
+        c.dispatches += 1;
+        s.in_flight += 1;
+        if part.is_none() {
+            self.warm_work += work;
+        }
+        out.push(Effect::Dispatch { cmd, server, timeout });
+    }
+
+    /// What is given up gets its answer at once: throttled where a repeat is surely harmless, else failed.
+    fn give_up(&mut self, cmd: usize, out: &mut Vec<Effect>) {
+        let c = &self.cmds[cmd];
+        let harmless = match self.groups[c.group].effect {
+            _ if c.doubt.is_none() && c.out.is_empty() => true,
+            Effects::Replayable => true,
+            Effects::Keyed { reach, .. } => reach == Reach::Everywhere,
+            Effects::Mutating => false,
+        };
+        if !harmless {
+            out.push(Effect::Fail { cmd });
+            return;
+        }
+        // By then what it waited for may have passed: as long as the command group's target.
+        let advice = self.groups[c.group].target.min(self.facts.allowed.longest_come_back);
+        out.push(Effect::Throttle { cmd, come_back: if self.facts.allowed.come_back { advice } else { 0 } });
+    }
+}
+
+/// The design's margin past a hold, and how long a replica is passed over.
+const MARGIN: Tenths = 2000 * MS;
+const PASS_OVER: Tenths = 5000 * MS;
--- /dev/null
+++ b/tests/traces.rs
@@ -0,0 +1,90 @@
+//! Short traces of decisions, kept to be read.
+
+mod common;
+
+use common::{Bench, MS, facts, line};
+use insta::assert_snapshot;
+use leverpoint::interface::*;
+
+#[test]
+fn a_session_read_goes_to_a_replica_known_to_cover_it() {
+    let mut b = Bench::with_set(facts());
+    b.arrive(0, 4, Some(9));
+    b.end(0, 0, 0, Ending::Answered, Some((true, 0)));
+    b.arrive(1, 0, None);
+    b.now += 50 * MS;
+    b.end(1, 0, 1, Ending::Answered, Some((false, 10 * MS)));
+    b.arrive(2, 2, Some(9));
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn a_miss_sends_the_read_on_and_at_last_to_the_primary() {
+    let mut b = Bench::with_set(facts());
+    b.arrive(0, 4, Some(9));
+    b.end(0, 0, 0, Ending::Answered, Some((true, 0)));
+    b.arrive(1, 2, Some(9));
+    b.end(1, 0, 3, Ending::Missed, Some((false, 900 * MS)));
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn a_change_of_primary_is_seen_through_a_miss() {
+    let mut b = Bench::with_set(facts());
+    b.arrive(0, 4, Some(9));
+    b.end(0, 0, 0, Ending::Missed, Some((false, 0)));
+    b.end(0, 1, 1, Ending::Missed, Some((false, 0)));
+    b.end(0, 2, 2, Ending::Answered, Some((true, 0)));
+    b.arrive(1, 4, Some(9));
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn a_keyed_write_goes_again_only_inside_its_window() {
+    let mut b = Bench::with_set(facts());
+    b.arrive(0, 4, Some(9));
+    b.now += 300 * MS;
+    b.end(0, 0, 0, Ending::Error, Some((true, 0)));
+    b.now += 1300 * MS;
+    b.end(0, 1, 0, Ending::Error, Some((true, 0)));
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn a_mutating_write_never_goes_again_after_an_unclear_end() {
+    let mut b = Bench::with_set(facts());
+    b.arrive(0, 5, Some(9));
+    b.end(0, 0, 0, Ending::Full, None);
+    b.end(0, 1, 0, Ending::Reset, None);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn nothing_goes_to_a_draining_server() {
+    let mut b = Bench::with_set(facts());
+    b.list(News::Changes, &[line(0, Phase::Draining, true, 0), line(1, Phase::Gone, false, 0)]);
+    b.arrive(0, 4, Some(9));
+    b.arrive(1, 0, None);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn held_writes_are_answered_before_their_client_timeout() {
+    let mut b = Bench::with_set(facts());
+    b.list(News::Changes, &(0..4).map(|s| line(s, Phase::Gone, false, 0)).collect::<Vec<_>>());
+    b.arrive(0, 4, Some(9));
+    b.pass(2100);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn a_silent_replica_is_passed_over() {
+    let mut b = Bench::with_set(facts());
+    b.arrive(0, 0, None);
+    b.now += 250 * MS;
+    b.end(0, 0, 2, Ending::TimedOut, None);
+    for cmd in 1..5 {
+        b.arrive(cmd, 0, None);
+    }
+    assert_snapshot!(b.trace());
+}
