Time-outs and turned-away dispatches count as slowness of the server

Also: an owed answer is forgotten once nothing is out, one slow answer is no silence, long commands wait past the margin. Also guards against: any server that turns away or swallows commands. Harm: a few time-outs of very long commands make a sound server look slow until it fades.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -92,7 +92,7 @@
     }
 
     fn halve(&mut self) {
-        self.bins.iter_mut().for_each(|n| *n /= 2);
+        self.bins.iter_mut().for_each(|n| *n = n.div_ceil(2));
         self.total = self.bins.iter().sum();
     }
 
@@ -156,7 +156,10 @@
     owing: Option<Tenths>,
     skipped_till: Tenths,
     behind_till: Tenths,
+    full_till: Tenths,
     suspect: bool,
+    /// Time-outs in a row with nothing heard.
+    mute: u32,
     slowness: Histogram,
     depth: Histogram,
     errors: u32,
@@ -224,7 +227,7 @@
     wrote: VecDeque<(usize, usize, Tenths)>,
     armed: bool,
     halved: Tenths,
-    /// Work sent to warm servers of late, in tenths of a millisecond; halved every second.
+    /// Work answered by warm servers of late, in tenths of a millisecond; halved every second.
     warm_work: f64,
     follow_at: Option<Tenths>,
 }
@@ -398,8 +401,14 @@
         let now = self.now;
         let hold = self.hold();
         let typical = self.groups[group].typical();
+        let target = self.groups[group].target;
+        let warm = self.servers[sent.server].as_ref().is_some_and(|s| self.coldness(s).is_none());
+        let work = if warm { self.work(group) } else { 0.0 };
         let Some(s) = self.servers[sent.server].as_mut() else { return };
         s.in_flight = s.in_flight.saturating_sub(1);
+        if s.in_flight == 0 {
+            s.owing = None;
+        }
         let unheard = s.heard <= sent.sent;
         match e.ending {
             Ending::Answered => {
@@ -408,7 +417,11 @@
                 s.slowness.note(e.took * 100 / typical, 12);
                 s.depth.note(i64::from(sent.depth) * 100, 12);
                 s.answers += 1;
+                self.warm_work += work;
             }
+            // What was waited for in vain is a measure too, if only of the least.
+            Ending::TimedOut => s.slowness.note(e.took * 100 / typical, 12),
+            Ending::Full => s.slowness.note(target * 200 / typical, 12),
             Ending::Error => s.errors += 1,
             Ending::Missed if hold > 0 && e.took >= hold && !matches!(e.word, Some(w) if w.primary) => {
                 s.behind_till = now + PASS_OVER;
@@ -419,7 +432,14 @@
             Ending::Answered | Ending::Error | Ending::Full | Ending::Missed => {
                 self.heard(sent.server, e.word, out);
             }
-            Ending::TimedOut | Ending::NotConnected | Ending::Reset if unheard => {
+            Ending::TimedOut if unheard => {
+                s.mute += 1;
+                // One slow answer is not silence, unless it was waited for as long as the design says.
+                if s.mute >= 2 || e.took >= hold + MARGIN {
+                    self.suspect(sent.server, PASS_OVER, "silent", out);
+                }
+            }
+            Ending::NotConnected | Ending::Reset if unheard => {
                 self.suspect(sent.server, PASS_OVER, "silent", out);
             }
             _ => {}
@@ -428,8 +448,11 @@
         // A third: well above the error rates of a sound server, below those of one that hurts.
         if e.ending == Ending::Error && s.errors >= 3 && s.errors * 2 > s.answers {
             self.suspect(sent.server, PASS_OVER / 5, "failing", out);
-        } else if e.ending == Ending::Full {
-            self.suspect(sent.server, PASS_OVER / 25, "full", out);
+        } else if e.ending == Ending::Full
+            && let Some(s) = self.servers[sent.server].as_mut()
+        {
+            // A fifth of a second: a full queue takes that long to make some room.
+            s.full_till = now + 200 * MS;
         }
     }
 
@@ -457,8 +480,8 @@
         let Some(s) = self.servers.get_mut(server).and_then(|s| s.as_mut()) else { return };
         s.heard = now;
         s.owing = (s.in_flight > 0).then_some(now);
-        if s.skipped_till <= now {
-            s.suspect = false;
+        if s.mute > 0 || s.skipped_till <= now {
+            (s.mute, s.suspect, s.skipped_till) = (0, false, now);
         }
         let Some(word) = word else { return };
         s.word_at = Some(now);
@@ -520,7 +543,9 @@
                 owing: None,
                 skipped_till: 0,
                 behind_till: 0,
+                full_till: 0,
                 suspect: false,
+                mute: 0,
                 slowness: Histogram::default(),
                 depth: Histogram::default(),
                 errors: 0,
@@ -775,7 +800,8 @@
                 c.missed & (1 << s.slot) == 0
                     && !recent(s.word_at)
                     && !recent(s.asked_at)
-                    && !(s.skipped_till > now && s.in_flight > 0)
+                    && (s.skipped_till <= now || s.in_flight == 0)
+                    && s.full_till <= now
                     && self.warm_enough(cmd, m)
             })
         });
@@ -792,7 +818,8 @@
     /// How long an answer from this server is likely to take.
     fn expected(&self, group: usize, s: &Server) -> Tenths {
         let typical = self.groups[group].typical();
-        let slow = s.slowness.mean().unwrap_or(100).max(50);
+        // With nothing out, one dispatch may find out.
+        let slow = s.slowness.mean().filter(|_| s.in_flight > 0).unwrap_or(100).max(50);
         // Deeper than when this was measured, by more than two: as much slower.
         let depth = i64::from(s.in_flight + 1) * 100;
         let usual = s.depth.mean().unwrap_or(depth) + 200;
@@ -812,7 +839,9 @@
         let left = if left > 0 { left } else { g.target / 2 };
         // From half of the time left for the least to all of it for the most benefit per work.
         let limit = left as f64 * (0.5 + 0.5 * self.rank(cmd));
-        (self.expected(c.group, s) as f64) <= limit && self.warm_enough(cmd, server)
+        s.full_till <= self.now
+            && (self.expected(c.group, s) as f64) <= limit
+            && self.warm_enough(cmd, server)
     }
 
     fn coldness(&self, s: &Server) -> Option<f64> {
@@ -858,19 +887,14 @@
         let aimed = if target_left > 0 { target_left } else { left };
         let usual = g.took.quantile(95).unwrap_or(g.target / 2) * 2;
         let wait = usual.clamp(aimed / 2, aimed.max(1));
-        wait.min(self.hold() + MARGIN).min(left).max(1)
+        wait.min(self.hold() + MARGIN.max(usual)).min(left).max(1)
     }
 
     fn send(&mut self, cmd: usize, server: usize, timeout: Tenths, out: &mut Vec<Effect>) {
         let now = self.now;
         let work = self.work(self.cmds[cmd].group);
-        let (part, grant) = match self.servers[server].as_ref() {
-            Some(s) => {
-                let part = self.coldness(s);
-                (part, part.map(|part| self.cold_rate(s, part)))
-            }
-            None => return,
-        };
+        let grant = self.servers[server].as_ref();
+        let grant = grant.and_then(|s| self.coldness(s).map(|part| self.cold_rate(s, part)));
         let Some(s) = self.servers[server].as_mut() else { return };
         if let Some((rate, burst)) = grant {
             s.budget = (s.budget + rate * (now - s.budget_at) as f64).min(burst) - work;
@@ -881,9 +905,6 @@
         c.out.push(Out { nth: c.dispatches, server, sent: now, depth: s.in_flight });
         c.dispatches += 1;
         s.in_flight += 1;
-        if part.is_none() {
-            self.warm_work += work;
-        }
         out.push(Effect::Dispatch { cmd, server, timeout });
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -90,8 +90,7 @@
 
     pub fn arrive(&mut self, cmd: usize, group: usize, session: Option<usize>) {
         let ends = self.now + 2000 * MS;
-        let arrival =
-            Arrival { cmd, group, customer: 0, set: 0, session, ends, token: None, repeat: false };
+        let arrival = Arrival { cmd, group, customer: 0, set: 0, session, ends, token: None, repeat: false };
         self.take(&format!("command {cmd} of group {group}"), &Input::Arrived(arrival));
     }
 
@@ -122,7 +121,9 @@
                 Effect::Dispatch { cmd, server, timeout } => {
                     format!("dispatch {cmd} to {server} within {} ms", timeout / MS)
                 }
-                Effect::Throttle { cmd, come_back } => format!("throttle {cmd}, back in {} ms", come_back / MS),
+                Effect::Throttle { cmd, come_back } => {
+                    format!("throttle {cmd}, back in {} ms", come_back / MS)
+                }
                 Effect::Fail { cmd } => format!("fail {cmd}"),
                 Effect::Timer { .. } => continue,
                 Effect::Log(text) => format!("log: {text}"),
