Narrower room, even fading of measures, believed positions, silence by time

Also guards against: any lasting overload. Harm: deployments with targets close to the work itself get little room.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -75,24 +75,22 @@
 }
 
 impl Histogram {
-    /// Top of the lowest bin: 4 ms, or 40 %; the highest then begins at 1.2 s, or 117 times.
-    const LOWEST: i64 = 40;
-
-    fn top(bin: usize) -> i64 {
-        (0..bin).fold(Self::LOWEST, |top, _| top * 3 / 2)
-    }
+    /// Tops of the bins, from 4 ms or 40 % to where a dispatch is late anyhow.
+    const TOPS: [i64; 16] =
+        [40, 60, 90, 135, 200, 300, 450, 680, 1020, 1530, 2300, 3450, 5180, 7770, 11_650, 17_500];
 
     fn note(&mut self, value: i64, keep: u32) {
-        let bin = (0..15).find(|&bin| value <= Self::top(bin)).unwrap_or(15);
-        self.bins[bin] += 1;
-        self.total += 1;
-        if self.total > keep {
+        let bin = Self::TOPS.iter().position(|&top| value <= top).unwrap_or(15);
+        // Sixteen, so that a single value fades over five halvings and not at once or never.
+        self.bins[bin] += 16;
+        self.total += 16;
+        if self.total > 16 * keep {
             self.halve();
         }
     }
 
     fn halve(&mut self) {
-        self.bins.iter_mut().for_each(|n| *n = n.div_ceil(2));
+        self.bins.iter_mut().for_each(|n| *n /= 2);
         self.total = self.bins.iter().sum();
     }
 
@@ -101,7 +99,7 @@
         let mut left = (self.total * percent).div_ceil(100);
         for (bin, &n) in self.bins.iter().enumerate() {
             if n > 0 && n >= left {
-                return Some(Self::top(bin));
+                return Some(Self::TOPS[bin]);
             }
             left -= n.min(left);
         }
@@ -109,7 +107,7 @@
     }
 
     fn mean(&self) -> Option<i64> {
-        let sum: i64 = (0..16).map(|bin| i64::from(self.bins[bin]) * Self::top(bin) * 5 / 6).sum();
+        let sum: i64 = (0..16).map(|bin| i64::from(self.bins[bin]) * Self::TOPS[bin] * 5 / 6).sum();
         (self.total > 0).then(|| sum / i64::from(self.total))
     }
 }
@@ -122,17 +120,19 @@
     late: bool,
     benefit: f64,
     took: Histogram,
+    /// Median time of an answer. Before anything is measured: a quarter of the target, as a
+    /// deployment that could not do that would have asked for a later one.
+    typical: Tenths,
 }
 
 impl Group {
-    fn typical(&self) -> Tenths {
-        // Before anything is measured: a quarter of the target, as a deployment that could not do that
-        // would have asked for a later one.
-        self.took.quantile(50).unwrap_or(self.target / 4).max(MS)
+    fn note(&mut self, took: Tenths) {
+        self.took.note(took, 256);
+        self.typical = self.took.quantile(50).unwrap_or(self.typical).max(MS);
     }
 
     fn density(&self) -> f64 {
-        self.benefit / self.typical() as f64
+        self.benefit / self.typical as f64
     }
 }
 
@@ -152,14 +152,15 @@
     position: Option<Tenths>,
     in_flight: u32,
     heard: Tenths,
-    /// Since when it owes an answer with nothing heard.
+    /// Since when it is overdue with an answer: twice the usual time of what was sent last, or last heard.
     owing: Option<Tenths>,
     skipped_till: Tenths,
     behind_till: Tenths,
     full_till: Tenths,
     suspect: bool,
-    /// Time-outs in a row with nothing heard.
-    mute: u32,
+    silent: bool,
+    /// When the first dispatch since it was last heard was sent.
+    quiet: Option<Tenths>,
     slowness: Histogram,
     depth: Histogram,
     errors: u32,
@@ -229,6 +230,10 @@
     halved: Tenths,
     /// Work answered by warm servers of late, in tenths of a millisecond; halved every second.
     warm_work: f64,
+    /// Listed size of the servers that are ready and warm.
+    warm_size: f64,
+    /// Density of the best group.
+    best: f64,
     follow_at: Option<Tenths>,
 }
 
@@ -241,6 +246,7 @@
             late: g.late > 0.0,
             benefit: g.benefit,
             took: Histogram::default(),
+            typical: (g.target / 4).max(MS),
         });
         Decider {
             rng: fastrand::Rng::with_seed(facts.seed),
@@ -258,6 +264,8 @@
             armed: false,
             halved: 0,
             warm_work: 0.0,
+            warm_size: 0.0,
+            best: f64::MIN_POSITIVE,
             follow_at: (!facts.list.pushed).then_some(Tenths::MIN),
             facts,
         }
@@ -400,7 +408,7 @@
     fn account(&mut self, e: &DispatchEnd, sent: &Out, group: usize, out: &mut Vec<Effect>) {
         let now = self.now;
         let hold = self.hold();
-        let typical = self.groups[group].typical();
+        let typical = self.groups[group].typical;
         let target = self.groups[group].target;
         let warm = self.servers[sent.server].as_ref().is_some_and(|s| self.coldness(s).is_none());
         let work = if warm { self.work(group) } else { 0.0 };
@@ -412,7 +420,7 @@
         let unheard = s.heard <= sent.sent;
         match e.ending {
             Ending::Answered => {
-                self.groups[group].took.note(e.took, 256);
+                self.groups[group].note(e.took);
                 // Twelve: enough for a mean, few enough to follow a stall within a second.
                 s.slowness.note(e.took * 100 / typical, 12);
                 s.depth.note(i64::from(sent.depth) * 100, 12);
@@ -423,21 +431,16 @@
             Ending::TimedOut => s.slowness.note(e.took * 100 / typical, 12),
             Ending::Full => s.slowness.note(target * 200 / typical, 12),
             Ending::Error => s.errors += 1,
-            Ending::Missed if hold > 0 && e.took >= hold && !matches!(e.word, Some(w) if w.primary) => {
-                s.behind_till = now + PASS_OVER;
-            }
+            Ending::Missed if hold > 0 && e.took >= hold => s.behind_till = now + PASS_OVER,
             _ => {}
         }
         match e.ending {
             Ending::Answered | Ending::Error | Ending::Full | Ending::Missed => {
                 self.heard(sent.server, e.word, out);
             }
-            Ending::TimedOut if unheard => {
-                s.mute += 1;
-                // One slow answer is not silence, unless it was waited for as long as the design says.
-                if s.mute >= 2 || e.took >= hold + MARGIN {
-                    self.suspect(sent.server, PASS_OVER, "silent", out);
-                }
+            // A second, half the design's margin: shorter silences are told of busy servers too.
+            Ending::TimedOut if s.quiet.is_some_and(|since| now - since >= hold + MARGIN / 2) => {
+                self.suspect(sent.server, PASS_OVER, "silent", out);
             }
             Ending::NotConnected | Ending::Reset if unheard => {
                 self.suspect(sent.server, PASS_OVER, "silent", out);
@@ -465,6 +468,7 @@
         let known = s.suspect && s.skipped_till > now;
         s.skipped_till = s.skipped_till.max(now + window);
         s.suspect = true;
+        s.silent |= why == "silent";
         let set = s.set;
         if !known {
             out.push(Effect::Log(format!("server {server} passed over: {why}")));
@@ -479,9 +483,10 @@
         let now = self.now;
         let Some(s) = self.servers.get_mut(server).and_then(|s| s.as_mut()) else { return };
         s.heard = now;
-        s.owing = (s.in_flight > 0).then_some(now);
-        if s.mute > 0 || s.skipped_till <= now {
-            (s.mute, s.suspect, s.skipped_till) = (0, false, now);
+        s.owing = s.owing.max(Some(now)).filter(|_| s.in_flight > 0);
+        s.quiet = None;
+        if s.silent || s.skipped_till <= now {
+            (s.silent, s.suspect, s.skipped_till) = (false, false, now);
         }
         let Some(word) = word else { return };
         s.word_at = Some(now);
@@ -514,6 +519,7 @@
         for e in entries {
             self.listed(e, out);
         }
+        self.weigh();
         self.recall();
     }
 
@@ -545,7 +551,8 @@
                 behind_till: 0,
                 full_till: 0,
                 suspect: false,
-                mute: 0,
+                silent: false,
+                quiet: None,
                 slowness: Histogram::default(),
                 depth: Histogram::default(),
                 errors: 0,
@@ -637,6 +644,7 @@
             self.halved = now;
             self.warm_work /= 2.0;
             self.customers.iter_mut().for_each(|c| c.came *= 0.7);
+            self.weigh();
         }
         for s in self.servers.iter_mut().flatten().filter(|s| now - s.halved >= 500 * MS) {
             s.halved = now;
@@ -647,6 +655,12 @@
         }
     }
 
+    fn weigh(&mut self) {
+        let warm = |s: &&Server| s.phase == Phase::Ready && self.coldness(s).is_none();
+        self.warm_size = self.servers.iter().flatten().filter(warm).map(|s| s.size).sum();
+        self.best = self.groups.iter().map(Group::density).fold(f64::MIN_POSITIVE, f64::max);
+    }
+
     fn arm(&mut self, out: &mut Vec<Effect>) {
         if !self.armed {
             self.armed = true;
@@ -681,8 +695,7 @@
     /// Benefit per work against the best of all groups.
     fn rank(&self, cmd: usize) -> f64 {
         let c = &self.cmds[cmd];
-        let best = self.groups.iter().map(Group::density).fold(0.0, f64::max);
-        let mut rank = self.groups[c.group].density() / best.max(f64::MIN_POSITIVE);
+        let mut rank = (self.groups[c.group].density() / self.best).min(1.0);
         if c.over_share {
             rank *= self.facts.over_share;
         }
@@ -697,7 +710,7 @@
         let target_left = c.came + g.target - self.now;
         if left <= 0
             || c.dispatches >= self.facts.allowed.dispatches
-            || (!g.late && target_left < g.typical() / 2)
+            || (!g.late && target_left < g.typical / 2)
             || !self.may_go_again(c, left)
         {
             return Seen::Hopeless;
@@ -707,11 +720,24 @@
             Need::Bounded(bound) => Some(self.now - bound),
             _ => None,
         };
-        let found = match g.need {
+        let need = g.need;
+        let found = match need {
             Need::Write | Need::Fresh => self.primary(cmd),
-            _ => self.pick(cmd, owed).or_else(|| self.overflow(cmd, owed)),
+            // After a miss the read goes to a replica known to cover it, else the primary, and only where that has
+            // no room to one believed to.
+            _ if self.facts.check == Check::None => {
+                self.pick(cmd, owed, 0).or_else(|| self.overflow(cmd, owed))
+            }
+            _ => {
+                let missed = c.missed != 0;
+                let found = self.pick(cmd, owed, if missed { 0 } else { i64::MAX });
+                let found = found.or_else(|| self.overflow(cmd, owed));
+                found.or_else(|| if missed { self.pick(cmd, owed, 1) } else { None })
+            }
+        };
+        let Some(server) = found else {
+            return Seen::NoRoom;
         };
-        let Some(server) = found else { return Seen::NoRoom };
         let timeout = self.patience(cmd, left);
         self.send(cmd, server, timeout, out);
         Seen::Sent
@@ -739,7 +765,7 @@
 
     /// Our pick: the unskipped replica with fewest in flight among those known to cover what is owed, else
     /// the least loaded of those nearest to it. After a miss only one known to cover.
-    fn pick(&mut self, cmd: usize, owed: Option<Tenths>) -> Option<usize> {
+    fn pick(&mut self, cmd: usize, owed: Option<Tenths>, reach: i64) -> Option<usize> {
         let c = &self.cmds[cmd];
         let set = &self.sets[c.set];
         let mut best: Option<((i64, u32, bool, u32), usize)> = None;
@@ -754,11 +780,13 @@
             let short = match (owed, s.position) {
                 (None, _) => 0,
                 (Some(owed), Some(p)) if p >= owed => 0,
-                // Coarse steps, so that those about as near are told apart by load.
-                (Some(owed), Some(p)) => 2 + i64::from(((owed - p) / (100 * MS)).max(1).ilog2()),
-                (Some(_), None) => 2,
+                (Some(owed), _) => match owed - self.believed(s) {
+                    short if short <= 0 => 1,
+                    // Coarse steps, so that those about as near are told apart by load.
+                    short => 2 + i64::from((short / (100 * MS)).max(1).ilog2()),
+                },
             };
-            if short > 0 && (c.missed != 0 || self.facts.check == Check::None) {
+            if short > reach {
                 continue;
             }
             let key = (short, s.in_flight, s.zone != self.facts.zone, self.rng.u32(..));
@@ -769,6 +797,14 @@
         best.map(|(_, m)| m)
     }
 
+    /// Where a replica stands by now, had it gone on as when last heard; what it lagged then counts for half
+    /// every two seconds, so that one which may have caught up is tried again.
+    fn believed(&self, s: &Server) -> Tenths {
+        let (Some(p), Some(at)) = (s.position, s.word_at) else { return self.now };
+        let lag = (at - p).max(0);
+        (self.now - (lag >> ((self.now - at) / MARGIN).min(40))).max(p)
+    }
+
     /// A read that no replica takes goes to the primary, where there is room for it.
     fn overflow(&mut self, cmd: usize, owed: Option<Tenths>) -> Option<usize> {
         let p = self.sets[self.cmds[cmd].set].primary?;
@@ -817,9 +853,10 @@
 
     /// How long an answer from this server is likely to take.
     fn expected(&self, group: usize, s: &Server) -> Tenths {
-        let typical = self.groups[group].typical();
+        let typical = self.groups[group].typical;
         // With nothing out, one dispatch may find out.
-        let slow = s.slowness.mean().filter(|_| s.in_flight > 0).unwrap_or(100).max(50);
+        let find_out = s.in_flight == 0;
+        let slow = s.slowness.mean().filter(|_| !find_out).unwrap_or(100).max(50);
         // Deeper than when this was measured, by more than two: as much slower.
         let depth = i64::from(s.in_flight + 1) * 100;
         let usual = s.depth.mean().unwrap_or(depth) + 200;
@@ -837,11 +874,10 @@
         let left = c.came + g.target - self.now;
         // Past its target a command takes only room that is surely spare.
         let left = if left > 0 { left } else { g.target / 2 };
-        // From half of the time left for the least to all of it for the most benefit per work.
-        let limit = left as f64 * (0.5 + 0.5 * self.rank(cmd));
-        s.full_till <= self.now
-            && (self.expected(c.group, s) as f64) <= limit
-            && self.warm_enough(cmd, server)
+        // From 0.3 of the time left for the least to 0.6 for the most benefit per work: at 1.0 queues stand
+        // where every answer is just late, at half of this sound servers idle.
+        let limit = left as f64 * (0.3 + 0.3 * self.rank(cmd));
+        s.full_till <= self.now && self.expected(c.group, s) as f64 <= limit && self.warm_enough(cmd, server)
     }
 
     fn coldness(&self, s: &Server) -> Option<f64> {
@@ -853,7 +889,7 @@
 
     fn work(&self, group: usize) -> f64 {
         // 10 ms more for a handshake or being turned away.
-        (self.groups[group].typical() + 10 * MS) as f64
+        (self.groups[group].typical + 10 * MS) as f64
     }
 
     /// Guards a cold server: it gets its part of what a warm one gets from this gateway, so that all
@@ -870,11 +906,8 @@
 
     /// Work a tenth of a millisecond that a cold server may get, and how much at once.
     fn cold_rate(&self, s: &Server, part: f64) -> (f64, f64) {
-        let warm =
-            self.servers.iter().flatten().filter(|o| o.phase == Phase::Ready && self.coldness(o).is_none());
-        let size: f64 = warm.map(|o| o.size).sum();
         // Halved every second, the sum stands for two seconds less a third on the mean.
-        let rate = self.warm_work / 15_000.0 * s.size / size.max(s.size) * part;
+        let rate = self.warm_work / 15_000.0 * s.size / self.warm_size.max(s.size) * part;
         (rate, rate * self.facts.guard.fall_time as f64 / 4.0)
     }
 
@@ -892,6 +925,7 @@
 
     fn send(&mut self, cmd: usize, server: usize, timeout: Tenths, out: &mut Vec<Effect>) {
         let now = self.now;
+        let typical = self.groups[self.cmds[cmd].group].typical;
         let work = self.work(self.cmds[cmd].group);
         let grant = self.servers[server].as_ref();
         let grant = grant.and_then(|s| self.coldness(s).map(|part| self.cold_rate(s, part)));
@@ -900,7 +934,8 @@
             s.budget = (s.budget + rate * (now - s.budget_at) as f64).min(burst) - work;
         }
         s.budget_at = now;
-        s.owing = s.owing.or(Some(now));
+        s.owing = s.owing.max(Some(now + 2 * typical));
+        s.quiet = s.quiet.or(Some(now));
         let c = &mut self.cmds[cmd];
         c.out.push(Out { nth: c.dispatches, server, sent: now, depth: s.in_flight });
         c.dispatches += 1;
