Few samples of slowness count with two usual ones; room centred

Cause: a gateway with little traffic judged a server by one or two answers. Harm: a truly slow server is believed two answers later.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -856,7 +856,9 @@
         let typical = self.groups[group].typical;
         // With nothing out, one dispatch may find out.
         let find_out = s.in_flight == 0;
-        let slow = s.slowness.mean().filter(|_| !find_out).unwrap_or(100).max(50);
+        // Few samples say little: as if two more had been usual.
+        let (mean, n) = (s.slowness.mean().unwrap_or(100), i64::from(s.slowness.total));
+        let slow = if find_out { 100 } else { (mean * n + 100 * 32) / (n + 32) };
         // Deeper than when this was measured, by more than two: as much slower.
         let depth = i64::from(s.in_flight + 1) * 100;
         let usual = s.depth.mean().unwrap_or(depth) + 200;
@@ -874,9 +876,9 @@
         let left = c.came + g.target - self.now;
         // Past its target a command takes only room that is surely spare.
         let left = if left > 0 { left } else { g.target / 2 };
-        // From 0.3 of the time left for the least to 0.6 for the most benefit per work: at 1.0 queues stand
-        // where every answer is just late, at half of this sound servers idle.
-        let limit = left as f64 * (0.3 + 0.3 * self.rank(cmd));
+        // From 0.2 of the time left for the least to 0.5 for the most benefit per work: at 1.0 queues stand
+        // where every answer is just late; a tenth more or less changes little.
+        let limit = left as f64 * (0.2 + 0.3 * self.rank(cmd));
         s.full_till <= self.now && self.expected(c.group, s) as f64 <= limit && self.warm_enough(cmd, server)
     }
 
