--- a/src/decide.rs
+++ b/src/decide.rs
@@ -117,7 +117,7 @@
     need: Need,
     effect: Effects,
     target: Tenths,
-    late: bool,
+    late: f64,
     benefit: f64,
     took: Histogram,
     /// Median time of an answer. Before anything is measured: a quarter of the target, as a
@@ -243,7 +243,7 @@
             need: g.need,
             effect: g.effect,
             target: g.target,
-            late: g.late > 0.0,
+            late: g.late,
             benefit: g.benefit,
             took: Histogram::default(),
             typical: (g.target / 4).max(MS),
@@ -710,7 +710,7 @@
         let target_left = c.came + g.target - self.now;
         if left <= 0
             || c.dispatches >= self.facts.allowed.dispatches
-            || (!g.late && target_left < g.typical / 2)
+            || (g.late <= 0.0 && target_left < g.typical / 2)
             || !self.may_go_again(c, left)
         {
             return Seen::Hopeless;
@@ -874,11 +874,13 @@
         let c = &self.cmds[cmd];
         let g = &self.groups[c.group];
         let left = c.came + g.target - self.now;
-        // Past its target a command takes only room that is surely spare.
-        let left = if left > 0 { left } else { g.target / 2 };
+        // Past its target a command gets as much of the target's room as it is still worth.
+        let left = if left > 0 { left as f64 } else { g.target as f64 * g.late };
         // From 0.2 of the time left for the least to 0.5 for the most benefit per work: at 1.0 queues stand
         // where every answer is just late; a tenth more or less changes little.
-        let limit = left as f64 * (0.2 + 0.3 * self.rank(cmd));
+        let only_there = matches!(g.need, Need::Write | Need::Fresh);
+        let rank = if only_there { 1.0 } else { self.rank(cmd) };
+        let limit = left * (0.2 + 0.3 * rank);
         s.full_till <= self.now && self.expected(c.group, s) as f64 <= limit && self.warm_enough(cmd, server)
     }
 
