Reads that owe nothing go first to replicas that are behind

Now such reads gather where owed reads cannot go. Also guards against: slow log replay, crowding. Harm: the replica furthest behind fills up first.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -778,7 +778,10 @@
                 continue;
             }
             let short = match (owed, s.position) {
-                (None, _) => 0,
+                // Exception: what owes nothing goes where owed reads can't, in steps of doubled lag from 400 ms.
+                // Guards the replicas that keep up, whether lag comes from long queries there, a slow disk or
+                // crowding; harm: less spread, so the one furthest behind fills up first.
+                (None, _) => -i64::from(((self.now - self.believed(s)) / (200 * MS)).max(1).ilog2()),
                 (Some(owed), Some(p)) if p >= owed => 0,
                 (Some(owed), _) => match owed - self.believed(s) {
                     short if short <= 0 => 1,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -12,6 +12,7 @@
     pub now: Tenths,
     effects: Vec<Effect>,
     trace: String,
+    sent: Vec<(usize, usize)>,
 }
 
 /// Groups: 0 any, 1 bounded by 3 s, 2 session, 3 fresh, 4 keyed write, 5 mutating write.
@@ -72,7 +73,7 @@
 impl Bench {
     pub fn new(facts: Facts) -> Self {
         let decider = Decider::new(facts);
-        Bench { decider, now: 100_000 * MS, effects: Vec::new(), trace: String::new() }
+        Bench { decider, now: 100_000 * MS, effects: Vec::new(), trace: String::new(), sent: Vec::new() }
     }
 
     /// Servers 0 to 3, where 0 is the primary and the list says so.
@@ -94,9 +95,15 @@
         self.take(&format!("command {cmd} of group {group}"), &Input::Arrived(arrival));
     }
 
+    /// The server that the newest dispatch of a command went to.
+    pub fn at(&self, cmd: usize) -> usize {
+        self.sent.iter().rev().find(|sent| sent.0 == cmd).map(|sent| sent.1).expect("dispatched")
+    }
+
     /// `word`: whether the server says it is the primary, and how long ago its position lies.
-    pub fn end(&mut self, cmd: usize, nth: u32, server: usize, ending: Ending, word: Option<(bool, Tenths)>) {
+    pub fn end(&mut self, cmd: usize, nth: u32, ending: Ending, word: Option<(bool, Tenths)>) {
         let word = word.map(|(primary, age)| Word { primary, position: Some(self.now - age) });
+        let server = self.at(cmd);
         let over = ending == Ending::Answered;
         let end = DispatchEnd { cmd, nth, server, ending, took: 20 * MS, over, word };
         self.take(&format!("dispatch {cmd}.{nth} at {server}: {ending:?}"), &Input::Ended(end));
@@ -119,6 +126,7 @@
         for effect in self.effects.drain(..) {
             let said = match effect {
                 Effect::Dispatch { cmd, server, timeout } => {
+                    self.sent.push((cmd, server));
                     format!("dispatch {cmd} to {server} within {} ms", timeout / MS)
                 }
                 Effect::Throttle { cmd, come_back } => {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -10,10 +10,10 @@
 fn a_session_read_goes_to_a_replica_known_to_cover_it() {
     let mut b = Bench::with_set(facts());
     b.arrive(0, 4, Some(9));
-    b.end(0, 0, 0, Ending::Answered, Some((true, 0)));
+    b.end(0, 0, Ending::Answered, Some((true, 0)));
     b.arrive(1, 0, None);
     b.now += 50 * MS;
-    b.end(1, 0, 1, Ending::Answered, Some((false, 10 * MS)));
+    b.end(1, 0, Ending::Answered, Some((false, 10 * MS)));
     b.arrive(2, 2, Some(9));
     assert_snapshot!(b.trace());
 }
@@ -22,9 +22,9 @@
 fn a_miss_sends_the_read_on_and_at_last_to_the_primary() {
     let mut b = Bench::with_set(facts());
     b.arrive(0, 4, Some(9));
-    b.end(0, 0, 0, Ending::Answered, Some((true, 0)));
+    b.end(0, 0, Ending::Answered, Some((true, 0)));
     b.arrive(1, 2, Some(9));
-    b.end(1, 0, 3, Ending::Missed, Some((false, 900 * MS)));
+    b.end(1, 0, Ending::Missed, Some((false, 900 * MS)));
     assert_snapshot!(b.trace());
 }
 
@@ -32,9 +32,9 @@
 fn a_change_of_primary_is_seen_through_a_miss() {
     let mut b = Bench::with_set(facts());
     b.arrive(0, 4, Some(9));
-    b.end(0, 0, 0, Ending::Missed, Some((false, 0)));
-    b.end(0, 1, 1, Ending::Missed, Some((false, 0)));
-    b.end(0, 2, 2, Ending::Answered, Some((true, 0)));
+    b.end(0, 0, Ending::Missed, Some((false, 0)));
+    b.end(0, 1, Ending::Missed, Some((false, 0)));
+    b.end(0, 2, Ending::Answered, Some((true, 0)));
     b.arrive(1, 4, Some(9));
     assert_snapshot!(b.trace());
 }
@@ -44,9 +44,9 @@
     let mut b = Bench::with_set(facts());
     b.arrive(0, 4, Some(9));
     b.now += 300 * MS;
-    b.end(0, 0, 0, Ending::Error, Some((true, 0)));
+    b.end(0, 0, Ending::Error, Some((true, 0)));
     b.now += 1300 * MS;
-    b.end(0, 1, 0, Ending::Error, Some((true, 0)));
+    b.end(0, 1, Ending::Error, Some((true, 0)));
     assert_snapshot!(b.trace());
 }
 
@@ -54,8 +54,8 @@
 fn a_mutating_write_never_goes_again_after_an_unclear_end() {
     let mut b = Bench::with_set(facts());
     b.arrive(0, 5, Some(9));
-    b.end(0, 0, 0, Ending::Full, None);
-    b.end(0, 1, 0, Ending::Reset, None);
+    b.end(0, 0, Ending::Full, None);
+    b.end(0, 1, Ending::Reset, None);
     assert_snapshot!(b.trace());
 }
 
@@ -81,10 +81,29 @@
 fn a_silent_replica_is_passed_over() {
     let mut b = Bench::with_set(facts());
     b.arrive(0, 0, None);
-    b.now += 250 * MS;
-    b.end(0, 0, 2, Ending::TimedOut, None);
-    for cmd in 1..5 {
+    b.now += 2000 * MS;
+    b.end(0, 0, Ending::TimedOut, None);
+    b.now += 800 * MS;
+    b.arrive(1, 0, None);
+    for cmd in 2..6 {
+        b.arrive(cmd, 0, None);
+    }
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn a_read_that_owes_nothing_goes_to_the_replica_furthest_behind() {
+    let mut b = Bench::with_set(facts());
+    for cmd in 0..3 {
+        b.arrive(cmd, 0, None);
+    }
+    for cmd in 0..3 {
+        let behind = if b.at(cmd) == 2 { 4000 * MS } else { 10 * MS };
+        b.end(cmd, 0, Ending::Answered, Some((false, behind)));
+    }
+    for cmd in 3..6 {
         b.arrive(cmd, 0, None);
     }
+    b.arrive(6, 1, None);
     assert_snapshot!(b.trace());
 }
