--- a/src/decide.rs
+++ b/src/decide.rs
@@ -879,11 +879,12 @@
         let left = c.came + g.target - self.now;
         // Past its target a command gets as much of the target's room as it is still worth.
         let left = if left > 0 { left as f64 } else { g.target as f64 * g.late };
-        // From 0.2 of the time left for the least to 0.5 for the most benefit per work: at 1.0 queues stand
-        // where every answer is just late; a tenth more or less changes little.
+        // From 0.3 of the time left for the least to 0.6 for the most benefit per work: at 1.0 queues stand
+        // where every answer is just late; at 0.2 to 0.5 quiet days
+        // throttle long commands whose work is near a fifth of their target.
         let only_there = matches!(g.need, Need::Write | Need::Fresh);
         let rank = if only_there { 1.0 } else { self.rank(cmd) };
-        let limit = left * (0.2 + 0.3 * rank);
+        let limit = left * (0.3 + 0.3 * rank);
         s.full_till <= self.now && self.expected(c.group, s) as f64 <= limit && self.warm_enough(cmd, server)
     }
 
