--- a/src/decide.rs
+++ b/src/decide.rs
@@ -161,6 +161,8 @@
     silent: bool,
     /// When the first dispatch since it was last heard was sent.
     quiet: Option<Tenths>,
+    /// Time-outs since then.
+    mute: u32,
     slowness: Histogram,
     depth: Histogram,
     errors: u32,
@@ -438,9 +440,13 @@
             Ending::Answered | Ending::Error | Ending::Full | Ending::Missed => {
                 self.heard(sent.server, e.word, out);
             }
-            // A second, half the design's margin: shorter silences are told of busy servers too.
-            Ending::TimedOut if s.quiet.is_some_and(|since| now - since >= hold + MARGIN / 2) => {
-                self.suspect(sent.server, PASS_OVER, "silent", out);
+            Ending::TimedOut if unheard => {
+                s.mute += 1;
+                // Three in a row over a second, half the design's margin: fewer are told of busy servers too.
+                let long = s.quiet.is_some_and(|since| now - since >= hold + MARGIN / 2);
+                if s.mute >= 3 && long {
+                    self.suspect(sent.server, PASS_OVER, "silent", out);
+                }
             }
             Ending::NotConnected | Ending::Reset if unheard => {
                 self.suspect(sent.server, PASS_OVER, "silent", out);
@@ -484,7 +490,7 @@
         let Some(s) = self.servers.get_mut(server).and_then(|s| s.as_mut()) else { return };
         s.heard = now;
         s.owing = s.owing.max(Some(now)).filter(|_| s.in_flight > 0);
-        s.quiet = None;
+        (s.quiet, s.mute) = (None, 0);
         if s.silent || s.skipped_till <= now {
             (s.silent, s.suspect, s.skipped_till) = (false, false, now);
         }
@@ -553,6 +559,7 @@
                 suspect: false,
                 silent: false,
                 quiet: None,
+                mute: 0,
                 slowness: Histogram::default(),
                 depth: Histogram::default(),
                 errors: 0,
