Reads that owe nothing gather at the lowest known position

The lowest position is the same for all gateways, so the others get free to catch up. Harm: less spread, where such reads are many and block nothing.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -785,10 +785,12 @@
                 continue;
             }
             let short = match (owed, s.position) {
-                // Exception: what owes nothing goes where owed reads can't, in steps of doubled lag from 400 ms.
-                // Guards the replicas that keep up, whether lag comes from long queries there, a slow disk or
+                // Exception: what owes nothing goes where owed reads can't, to the replica furthest behind of those
+                // behind by 400 ms. All gateways read the same positions and so gather at the same replica. Guards
+                // the replicas that keep up or could, whether lag comes from long queries there, a slow disk or
                 // crowding; harm: less spread, so the one furthest behind fills up first.
-                (None, _) => -i64::from(((self.now - self.believed(s)) / (200 * MS)).max(1).ilog2()),
+                (None, Some(p)) if self.now - self.believed(s) > 400 * MS => p - self.now,
+                (None, _) => 0,
                 (Some(owed), Some(p)) if p >= owed => 0,
                 (Some(owed), _) => match owed - self.believed(s) {
                     short if short <= 0 => 1,
