--- a/src/decide.rs
+++ b/src/decide.rs
@@ -718,7 +718,7 @@
         if left <= 0
             || c.dispatches >= self.facts.allowed.dispatches
             || (g.late <= 0.0 && target_left < g.typical / 2)
-            || !self.may_go_again(c, left)
+            || !self.may_go_again(c)
         {
             return Seen::Hopeless;
         }
@@ -742,16 +742,14 @@
                 found.or_else(|| if missed { self.pick(cmd, owed, 1) } else { None })
             }
         };
-        let Some(server) = found else {
-            return Seen::NoRoom;
-        };
+        let Some(server) = found.filter(|&m| self.drops_repeat(cmd, m)) else { return Seen::NoRoom };
         let timeout = self.patience(cmd, left);
         self.send(cmd, server, timeout, out);
         Seen::Sent
     }
 
     /// Whether the rule on double effects lets the command be dispatched once more.
-    fn may_go_again(&self, c: &Command, _left: Tenths) -> bool {
+    fn may_go_again(&self, c: &Command) -> bool {
         match (c.doubt, self.groups[c.group].effect) {
             (None, _) | (_, Effects::Replayable) => true,
             (_, Effects::Mutating) => false,
@@ -760,6 +758,13 @@
         }
     }
 
+    /// Whether this server would know a repeat of a keyed command that may have run.
+    fn drops_repeat(&self, cmd: usize, server: usize) -> bool {
+        let c = &self.cmds[cmd];
+        let zoned = matches!(self.groups[c.group].effect, Effects::Keyed { reach: Reach::Zone, .. });
+        !zoned || c.doubt.is_none() || self.servers[server].as_ref().is_some_and(|s| s.zone == c.doubt_zone)
+    }
+
     fn live(&self, server: usize) -> Option<&Server> {
         let s = self.servers.get(server)?.as_ref()?;
         let barred = match s.phase {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -107,3 +107,45 @@
     b.arrive(6, 1, None);
     assert_snapshot!(b.trace());
 }
+
+#[test]
+fn a_keyed_write_that_may_have_run_stays_in_its_zone_where_only_that_drops_repeats() {
+    let mut facts = facts();
+    facts.groups[4].effect = Effects::Keyed { window: 1500 * MS, reach: Reach::Zone };
+    let mut b = Bench::with_set(facts);
+    b.arrive(0, 4, Some(9));
+    b.end(0, 0, Ending::Reset, None);
+    b.pass(1600);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn a_cold_server_gets_its_part_of_what_a_warm_one_answers() {
+    let mut b = Bench::new(facts());
+    let started = b.now - 1000 * MS;
+    b.list(News::Whole, &[line(0, Phase::Ready, true, 0), line(1, Phase::Ready, false, started)]);
+    for cmd in 0..3 {
+        b.arrive(cmd, 0, None);
+    }
+    b.now += 2000 * MS;
+    for cmd in 0..3 {
+        b.end(cmd, 0, Ending::Answered, Some((b.at(cmd) == 0, 0)));
+    }
+    b.now += 2000 * MS;
+    for cmd in 3..7 {
+        b.arrive(cmd, 0, None);
+    }
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn a_late_list_does_not_overrule_an_answer() {
+    let mut b = Bench::with_set(facts());
+    b.arrive(0, 4, Some(9));
+    b.end(0, 0, Ending::Missed, Some((false, 0)));
+    b.end(0, 1, Ending::Answered, Some((true, 0)));
+    b.list(News::Changes, &[line(0, Phase::Ready, false, 0)]);
+    b.list(News::Changes, &[line(0, Phase::Ready, true, 0)]);
+    b.arrive(1, 4, Some(9));
+    assert_snapshot!(b.trace());
+}
