Depth counts in full only where the server is slow already

Cause: a server's expected time grew with this gateway's dispatches there whether or not it had cores to spare; servers with many cores were left idle, servers with few were filled. Harm: bursts into an unmeasured server pass more easily.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -876,10 +876,12 @@
         // Few samples say little: as if two more had been usual.
         let (mean, n) = (s.slowness.mean().unwrap_or(100), i64::from(s.slowness.total));
         let slow = if find_out { 100 } else { (mean * n + 100 * 32) / (n + 32) };
-        // Deeper than when this was measured, by more than two: as much slower.
+        // Deeper than when this was measured, by more than one: as much slower where the server is slow already
+        // (1.6 times the usual), half of that where it is not, as it then has cores to spare.
         let depth = i64::from(s.in_flight + 1) * 100;
-        let usual = s.depth.mean().unwrap_or(depth) + 200;
-        let took = typical * slow / 100 * depth.max(usual) / usual;
+        let usual = s.depth.mean().unwrap_or(depth) + 100;
+        let deeper = (depth - usual).max(0) * (slow - 100).clamp(30, 60) / 60;
+        let took = typical * slow / 100 * (usual + deeper) / usual;
         took.max(s.owing.map_or(0, |since| self.now - since))
     }
 
