--- a/src/decide.rs
+++ b/src/decide.rs
@@ -234,6 +234,8 @@
     warm_work: f64,
     /// Listed size of the servers that are ready and warm.
     warm_size: f64,
+    /// How many dispatches have ended of late, and how many of them by time-out; fades within seconds.
+    ends: [f64; 2],
     /// Density of the best group.
     best: f64,
     follow_at: Option<Tenths>,
@@ -267,6 +269,7 @@
             halved: 0,
             warm_work: 0.0,
             warm_size: 0.0,
+            ends: [0.0; 2],
             best: f64::MIN_POSITIVE,
             follow_at: (!facts.list.pushed).then_some(Tenths::MIN),
             facts,
@@ -419,6 +422,10 @@
         if s.in_flight == 0 {
             s.owing = None;
         }
+        let timed_out = e.ending == Ending::TimedOut;
+        if timed_out || e.ending == Ending::Answered {
+            self.ends = [self.ends[0] + 1.0, self.ends[1] + f64::from(u8::from(timed_out))];
+        }
         let unheard = s.heard <= sent.sent;
         match e.ending {
             Ending::Answered => {
@@ -650,6 +657,7 @@
         if now - self.halved >= 1000 * MS {
             self.halved = now;
             self.warm_work /= 2.0;
+            self.ends = self.ends.map(|n| n * 0.8);
             self.customers.iter_mut().for_each(|c| c.came *= 0.7);
             self.weigh();
         }
@@ -900,7 +908,8 @@
         // throttle long commands whose work is near a fifth of their target.
         let only_there = matches!(g.need, Need::Write | Need::Fresh);
         let rank = if only_there { 1.0 } else { self.rank(cmd) };
-        let limit = left * (0.3 + 0.3 * rank);
+        let scarce = ((self.ends[1] + 4.0) / (self.ends[0] + 40.0) * 16.0 - 0.6).clamp(0.0, 1.0);
+        let limit = left * (0.6 - 0.3 * scarce * (1.0 - rank));
         s.full_till <= self.now && self.expected(c.group, s) as f64 <= limit && self.warm_enough(cmd, server)
     }
 
