--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,12 +5,14 @@
 //! of a command stands in [`TABLE`]; `step` reads it.
 //!
 //! Mechanisms beside the design (at most six):
-//! 1. room: a command goes to a server only while an answer in time is likely there (`room`);
-//! 2. lines: what finds no room is held and served again by benefit, further dispatches last (`serve`);
-//! 3. quick silence: time-outs shorter than hold plus margin where clients wait less (`patience`);
-//! 4. suspects: silent, failing or full servers return one dispatch at a time (`suspect`);
-//! 5. cold budget: a server that has just started gets its part of a warm server's work (`warm_enough`);
-//! 6. customers' shares: in a shortage, what is beyond a share goes last (`over_share`).
+//! 1. room: a command goes to a server only while an answer in time is likely there (`room`), else it is
+//!    held and served again by benefit, further dispatches last (`serve`);
+//! 2. silence: time-outs shorter than hold plus margin where clients wait less (`patience`); silent,
+//!    failing or full servers return one dispatch at a time (`suspect`);
+//! 3. cold budget: a server that has just started gets its part of a warm server's work (`warm_enough`);
+//! 4. customers' shares: in a shortage, what is beyond a share goes last (`over_share`);
+//! 5. believed positions: a replica is taken to have kept its lag (`believed`);
+//! 6. gathering: reads that owe nothing go to the replica furthest behind (`pick`).
 
 use std::collections::VecDeque;
 
@@ -136,6 +138,7 @@
     }
 }
 
+#[derive(Default)]
 struct Server {
     set: usize,
     slot: u32,
@@ -549,31 +552,11 @@
                 set: e.set,
                 slot,
                 zone: e.zone,
-                phase: e.phase,
-                drained: false,
-                size: e.size,
                 started: e.started,
-                listed_primary: false,
-                word_at: None,
-                asked_at: None,
-                position: None,
-                in_flight: 0,
                 heard: now,
-                owing: None,
-                skipped_till: 0,
-                behind_till: 0,
-                full_till: 0,
-                suspect: false,
-                silent: false,
-                quiet: None,
-                mute: 0,
-                slowness: Histogram::default(),
-                depth: Histogram::default(),
-                errors: 0,
-                answers: 0,
                 halved: now,
-                budget: 0.0,
                 budget_at: now,
+                ..Server::default()
             });
         }
         let Some(s) = self.servers[e.server].as_mut() else { return };
@@ -738,8 +721,8 @@
         let need = g.need;
         let found = match need {
             Need::Write | Need::Fresh => self.primary(cmd),
-            // After a miss the read goes to a replica known to cover it, else the primary, and only where that has
-            // no room to one believed to.
+            // After a miss the read goes to a replica known to cover it, else the primary, and only where
+            // that has no room to one believed to.
             _ if self.facts.check == Check::None => {
                 self.pick(cmd, owed, 0).or_else(|| self.overflow(cmd, owed))
             }
@@ -798,10 +781,10 @@
                 continue;
             }
             let short = match (owed, s.position) {
-                // Exception: what owes nothing goes where owed reads can't, to the replica furthest behind of those
-                // behind by 400 ms. All gateways read the same positions and so gather at the same replica. Guards
-                // the replicas that keep up or could, whether lag comes from long queries there, a slow disk or
-                // crowding; harm: less spread, so the one furthest behind fills up first.
+                // Exception: what owes nothing goes where owed reads can't, to the replica furthest behind of
+                // those behind by 400 ms (past a usual lag, far below a bound). All gateways read the same
+                // positions and gather there. Guards the replicas that keep up or could, whether lag comes
+                // from long queries, a slow disk or crowding; harm: the one furthest behind fills up first.
                 (None, Some(p)) if self.now - self.believed(s) > 400 * MS => p - self.now,
                 (None, _) => 0,
                 (Some(owed), Some(p)) if p >= owed => 0,
@@ -884,8 +867,8 @@
         // Few samples say little: as if two more had been usual.
         let (mean, n) = (s.slowness.mean().unwrap_or(100), i64::from(s.slowness.total));
         let slow = if find_out { 100 } else { (mean * n + 100 * 32) / (n + 32) };
-        // Deeper than when this was measured, by more than one: as much slower where the server is slow already
-        // (1.6 times the usual), half of that where it is not, as it then has cores to spare.
+        // Deeper than when this was measured, by more than one: as much slower where the server is slow (1.6
+        // times the usual), half of that where it is not, as it then has cores to spare.
         let depth = i64::from(s.in_flight + 1) * 100;
         let usual = s.depth.mean().unwrap_or(depth) + 100;
         let deeper = (depth - usual).max(0) * (slow - 100).clamp(30, 60) / 60;
@@ -903,9 +886,9 @@
         let left = c.came + g.target - self.now;
         // Past its target a command gets as much of the target's room as it is still worth.
         let left = if left > 0 { left as f64 } else { g.target as f64 * g.late };
-        // From 0.3 of the time left for the least to 0.6 for the most benefit per work: at 1.0 queues stand
-        // where every answer is just late; at 0.2 to 0.5 quiet days
-        // throttle long commands whose work is near a fifth of their target.
+        // Up to 0.6 of the time left: at 1.0 queues stand where every answer is just late. Once dispatches
+        // time out (from 4 % to 10 %, about what heavy tails of work alone give) down to 0.3 for the least
+        // benefit per work; with 0.3 always, quiet days throttle long commands whose bare work fills it.
         let only_there = matches!(g.need, Need::Write | Need::Fresh);
         let rank = if only_there { 1.0 } else { self.rank(cmd) };
         let scarce = ((self.ends[1] + 4.0) / (self.ends[0] + 40.0) * 16.0 - 0.6).clamp(0.0, 1.0);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -146,10 +146,11 @@
     pub started: Tenths,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Phase {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
