A client's repeat gets less room in a shortage

Cause: throttled commands come back as repeats with part of their target gone, and took room from first tries that could still be in time. Also guards against: retry storms. Harm: a repeat that came at once has most of its target left and waits behind.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -698,7 +698,7 @@
             rank *= self.facts.over_share;
         }
         // A repeat has used up part of its target already.
-        if c.repeat { rank * 0.7 } else { rank }
+        if c.repeat { rank * 0.3 - 0.5 } else { rank }
     }
 
     fn place(&mut self, cmd: usize, out: &mut Vec<Effect>) -> Seen {
