--- a/src/decide.rs
+++ b/src/decide.rs
@@ -697,8 +697,9 @@
         if c.over_share {
             rank *= self.facts.over_share;
         }
-        // A repeat has used up part of its target already.
-        if c.repeat { rank * 0.3 - 0.5 } else { rank }
+        // A repeat has used up part of its target already: in a shortage it is left under a tenth of the
+        // time, so that storms of them leave room for first tries; from 0.5 to 0.9 little changes.
+        if c.repeat { rank * 0.3 - 0.7 } else { rank }
     }
 
     fn place(&mut self, cmd: usize, out: &mut Vec<Effect>) -> Seen {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -10,6 +10,10 @@
 pub struct Bench {
     pub decider: Decider,
     pub now: Tenths,
+    /// Whether clients say that what arrives is a repeat.
+    pub repeat: bool,
+    /// How long a dispatch takes.
+    pub took: Tenths,
     effects: Vec<Effect>,
     trace: String,
     sent: Vec<(usize, usize)>,
@@ -73,7 +77,15 @@
 impl Bench {
     pub fn new(facts: Facts) -> Self {
         let decider = Decider::new(facts);
-        Bench { decider, now: 100_000 * MS, effects: Vec::new(), trace: String::new(), sent: Vec::new() }
+        Bench {
+            decider,
+            now: 100_000 * MS,
+            repeat: false,
+            took: 20 * MS,
+            effects: Vec::new(),
+            trace: String::new(),
+            sent: Vec::new(),
+        }
     }
 
     /// Servers 0 to 3, where 0 is the primary and the list says so.
@@ -91,7 +103,8 @@
 
     pub fn arrive(&mut self, cmd: usize, group: usize, session: Option<usize>) {
         let ends = self.now + 2000 * MS;
-        let arrival = Arrival { cmd, group, customer: 0, set: 0, session, ends, token: None, repeat: false };
+        let arrival =
+            Arrival { cmd, group, customer: 0, set: 0, session, ends, token: None, repeat: self.repeat };
         self.take(&format!("command {cmd} of group {group}"), &Input::Arrived(arrival));
     }
 
@@ -105,7 +118,7 @@
         let word = word.map(|(primary, age)| Word { primary, position: Some(self.now - age) });
         let server = self.at(cmd);
         let over = ending == Ending::Answered;
-        let end = DispatchEnd { cmd, nth, server, ending, took: 20 * MS, over, word };
+        let end = DispatchEnd { cmd, nth, server, ending, took: self.took, over, word };
         self.take(&format!("dispatch {cmd}.{nth} at {server}: {ending:?}"), &Input::Ended(end));
     }
 
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -149,3 +149,22 @@
     b.arrive(1, 4, Some(9));
     assert_snapshot!(b.trace());
 }
+
+#[test]
+fn in_a_shortage_a_repeat_finds_no_room_where_a_first_try_does() {
+    let mut b = Bench::with_set(facts());
+    b.took = 80 * MS;
+    for cmd in 0..60 {
+        b.arrive(cmd, 0, None);
+    }
+    b.now += 100 * MS;
+    for cmd in 0..54 {
+        b.end(cmd, 0, if cmd % 3 == 0 { Ending::TimedOut } else { Ending::Answered }, Some((false, 0)));
+    }
+    b.trace();
+    b.repeat = true;
+    b.arrive(60, 0, None);
+    b.repeat = false;
+    b.arrive(61, 0, None);
+    assert_snapshot!(b.trace());
+}
