--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -168,3 +168,27 @@
     b.arrive(61, 0, None);
     assert_snapshot!(b.trace());
 }
+
+#[test]
+fn a_drain_notice_reaches_commands_that_wait() {
+    let mut b = Bench::with_set(facts());
+    b.list(News::Changes, &(0..4).map(|s| line(s, Phase::Gone, false, 0)).collect::<Vec<_>>());
+    b.arrive(0, 0, None);
+    b.pass(50);
+    b.list(News::Changes, &[line(1, Phase::Draining, false, 0), line(2, Phase::Ready, false, 0)]);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn reads_of_a_lagging_set_end_at_the_primary() {
+    let mut b = Bench::with_set(facts());
+    for cmd in 0..3 {
+        b.arrive(cmd, 1, None);
+    }
+    for cmd in 0..3 {
+        b.end(cmd, 0, Ending::Missed, Some((false, 9000 * MS)));
+    }
+    b.arrive(3, 1, None);
+    b.end(3, 0, Ending::Missed, Some((false, 9000 * MS)));
+    assert_snapshot!(b.trace());
+}
