Clean-up: one reckoning each of cold budget, target left and what only the primary takes

The cold budget was reckoned in two places, the time left to the target in three, the test for writes and fresh reads in three; a reason was compared as text; the drill wrote effects out twice an event. The comment of patience told of an older rule.

--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -89,6 +89,7 @@
     ) -> Result<(), Fault> {
         // Rounded up: what is left of a client's patience is never overrated.
         let now = up(now_ms);
+        let mut touched = None;
         match event {
             Event::View { bank, form } => {
                 let news = match form {
@@ -121,8 +122,7 @@
                 let held = &mut self.held[cmd];
                 held.out = held.out.saturating_sub(1);
                 held.over |= response.last;
-                self.perform(reply);
-                self.recycle(cmd);
+                touched = Some(cmd);
             }
             Event::Hangup(id) => {
                 let Some(&cmd) = self.commands.of.get(&id) else { return Ok(()) };
@@ -130,8 +130,7 @@
                     self.held[cmd].over = true;
                     self.decider.take(now, &Input::HungUp(cmd), &mut self.effects);
                 }
-                self.perform(reply);
-                self.recycle(cmd);
+                touched = Some(cmd);
             }
             Event::Due(key) => self.decider.take(now, &Input::Due(key), &mut self.effects),
             Event::Echo { server, status, load } => {
@@ -147,6 +146,9 @@
             Event::Begun | Event::Select(_) | Event::Open { .. } | Event::List { .. } | Event::Stop => {}
         }
         self.perform(reply);
+        if let Some(cmd) = touched {
+            recycle(&mut self.commands, &self.held, cmd);
+        }
         Ok(())
     }
 
@@ -279,10 +281,6 @@
             }
         }
     }
-
-    fn recycle(&mut self, cmd: usize) {
-        recycle(&mut self.commands, &self.held, cmd);
-    }
 }
 
 /// A command's index is free once it is over and none of its dispatches is out.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -69,6 +69,13 @@
     (State::Over, Seen::HungUp, State::Over, Act::Rest),
 ];
 
+/// Why a server is passed over.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Why {
+    Silent,
+    Failing,
+}
+
 /// Few coarse bins, each half as wide again as the one before; halved now and then.
 #[derive(Clone, Default)]
 struct Histogram {
@@ -133,6 +140,10 @@
         self.typical = self.took.quantile(50).unwrap_or(self.typical).max(MS);
     }
 
+    fn only_primary(&self) -> bool {
+        matches!(self.need, Need::Write | Need::Fresh)
+    }
+
     fn density(&self) -> f64 {
         self.benefit / self.typical as f64
     }
@@ -455,18 +466,18 @@
                 // Three in a row over a second, half the design's margin: fewer are told of busy servers too.
                 let long = s.quiet.is_some_and(|since| now - since >= hold + MARGIN / 2);
                 if s.mute >= 3 && long {
-                    self.suspect(sent.server, PASS_OVER, "silent", out);
+                    self.suspect(sent.server, PASS_OVER, Why::Silent, out);
                 }
             }
             Ending::NotConnected | Ending::Reset if unheard => {
-                self.suspect(sent.server, PASS_OVER, "silent", out);
+                self.suspect(sent.server, PASS_OVER, Why::Silent, out);
             }
             _ => {}
         }
         let Some(s) = self.servers[sent.server].as_ref() else { return };
         // A third: well above the error rates of a sound server, below those of one that hurts.
         if e.ending == Ending::Error && s.errors >= 3 && s.errors * 2 > s.answers {
-            self.suspect(sent.server, PASS_OVER / 5, "failing", out);
+            self.suspect(sent.server, PASS_OVER / 5, Why::Failing, out);
         } else if e.ending == Ending::Full
             && let Some(s) = self.servers[sent.server].as_mut()
         {
@@ -478,18 +489,21 @@
     /// Guards against servers that are gone, hung, cut off, failing or full, whatever the cause: skipped for
     /// a while, then tried with one dispatch at a time until heard. Harm: a server that stalls briefly
     /// loses its share for the window.
-    fn suspect(&mut self, server: usize, window: Tenths, why: &str, out: &mut Vec<Effect>) {
+    fn suspect(&mut self, server: usize, window: Tenths, why: Why, out: &mut Vec<Effect>) {
         let now = self.now;
         let Some(s) = self.servers[server].as_mut() else { return };
         let known = s.suspect && s.skipped_till > now;
         s.skipped_till = s.skipped_till.max(now + window);
         s.suspect = true;
-        s.silent |= why == "silent";
+        s.silent |= why == Why::Silent;
         let set = s.set;
         if !known {
-            out.push(Effect::Log(format!("server {server} passed over: {why}")));
+            out.push(Effect::Log(format!(
+                "server {server} passed over: {}",
+                if why == Why::Silent { "silent" } else { "failing" }
+            )));
         }
-        if why == "silent" && self.sets[set].primary == Some(server) {
+        if why == Why::Silent && self.sets[set].primary == Some(server) {
             self.sets[set].primary = None;
             out.push(Effect::Log(format!("set {set}: primary {server} is silent, now unknown")));
         }
@@ -702,11 +716,15 @@
         if c.repeat { rank * 0.3 - 0.7 } else { rank }
     }
 
+    fn target_left(&self, c: &Command) -> Tenths {
+        c.came + self.groups[c.group].target - self.now
+    }
+
     fn place(&mut self, cmd: usize, out: &mut Vec<Effect>) -> Seen {
         let c = &self.cmds[cmd];
         let g = &self.groups[c.group];
         let left = c.ends - self.now - 2 * self.facts.grain;
-        let target_left = c.came + g.target - self.now;
+        let target_left = self.target_left(c);
         if left <= 0
             || c.dispatches >= self.facts.allowed.dispatches
             || (g.late <= 0.0 && target_left < g.typical / 2)
@@ -719,9 +737,8 @@
             Need::Bounded(bound) => Some(self.now - bound),
             _ => None,
         };
-        let need = g.need;
-        let found = match need {
-            Need::Write | Need::Fresh => self.primary(cmd),
+        let found = match g.need {
+            _ if g.only_primary() => self.primary(cmd),
             // After a miss the read goes to a replica known to cover it, else the primary, and only where
             // that has no room to one believed to.
             _ if self.facts.check == Check::None => {
@@ -884,14 +901,13 @@
         let Some(s) = self.servers[server].as_ref() else { return false };
         let c = &self.cmds[cmd];
         let g = &self.groups[c.group];
-        let left = c.came + g.target - self.now;
+        let left = self.target_left(c);
         // Past its target a command gets as much of the target's room as it is still worth.
         let left = if left > 0 { left as f64 } else { g.target as f64 * g.late };
         // Up to 0.6 of the time left: at 1.0 queues stand where every answer is just late. Once dispatches
         // time out (from 4 % to 10 %, about what heavy tails of work alone give) down to 0.3 for the least
         // benefit per work; with 0.3 always, quiet days throttle long commands whose bare work fills it.
-        let only_there = matches!(g.need, Need::Write | Need::Fresh);
-        let rank = if only_there { 1.0 } else { self.rank(cmd) };
+        let rank = if g.only_primary() { 1.0 } else { self.rank(cmd) };
         let scarce = ((self.ends[1] + 4.0) / (self.ends[0] + 40.0) * 16.0 - 0.6).clamp(0.0, 1.0);
         let limit = left * (0.6 - 0.3 * scarce * (1.0 - rank));
         s.full_till <= self.now && self.expected(c.group, s) as f64 <= limit && self.warm_enough(cmd, server)
@@ -913,27 +929,28 @@
     /// gateways together stay under what it can do. Harm: where all servers are cold, little is sent.
     fn warm_enough(&self, cmd: usize, server: usize) -> bool {
         let Some(s) = self.servers[server].as_ref() else { return false };
-        let Some(part) = self.coldness(s) else { return true };
-        let (rate, burst) = self.cold_rate(s, part);
-        let budget = (s.budget + rate * (self.now - s.budget_at) as f64).min(burst);
+        let Some((budget, burst)) = self.cold_budget(s) else { return true };
         // What only the primary can take may use more of the multiple.
-        let needed = matches!(self.groups[self.cmds[cmd].group].need, Need::Write | Need::Fresh);
+        let needed = self.groups[self.cmds[cmd].group].only_primary();
         budget >= if needed { -burst * (self.facts.guard.fall_multiple - 1.0) / 2.0 } else { 0.0 }
     }
 
-    /// Work a tenth of a millisecond that a cold server may get, and how much at once.
-    fn cold_rate(&self, s: &Server, part: f64) -> (f64, f64) {
+    /// The work that a cold server may get now, and how much of it can gather.
+    fn cold_budget(&self, s: &Server) -> Option<(f64, f64)> {
+        let part = self.coldness(s)?;
         // Halved every second, the sum stands for two seconds less a third on the mean.
         let rate = self.warm_work / 15_000.0 * s.size / self.warm_size.max(s.size) * part;
-        (rate, rate * self.facts.guard.fall_time as f64 / 4.0)
+        let burst = rate * self.facts.guard.fall_time as f64 / 4.0;
+        Some(((s.budget + rate * (self.now - s.budget_at) as f64).min(burst), burst))
     }
 
-    /// Hold plus margin, or what the client's target leaves when that is less: two in three of the time
-    /// left, and more where answers usually take longer. Acts where targets are nearer than hold plus margin.
+    /// Hold plus margin, or what the client's target leaves when that is less: twice what 95 % of answers
+    /// took, at least half and at most all of the time to the target. Acts where targets are nearer than
+    /// hold plus margin.
     fn patience(&self, cmd: usize, left: Tenths) -> Tenths {
         let c = &self.cmds[cmd];
         let g = &self.groups[c.group];
-        let target_left = c.came + g.target - self.now;
+        let target_left = self.target_left(c);
         let aimed = if target_left > 0 { target_left } else { left };
         let usual = g.took.quantile(95).unwrap_or(g.target / 2) * 2;
         let wait = usual.clamp(aimed / 2, aimed.max(1));
@@ -944,11 +961,10 @@
         let now = self.now;
         let typical = self.groups[self.cmds[cmd].group].typical;
         let work = self.work(self.cmds[cmd].group);
-        let grant = self.servers[server].as_ref();
-        let grant = grant.and_then(|s| self.coldness(s).map(|part| self.cold_rate(s, part)));
+        let cold = self.servers[server].as_ref().and_then(|s| self.cold_budget(s));
         let Some(s) = self.servers[server].as_mut() else { return };
-        if let Some((rate, burst)) = grant {
-            s.budget = (s.budget + rate * (now - s.budget_at) as f64).min(burst) - work;
+        if let Some((budget, _)) = cold {
+            s.budget = budget - work;
         }
         s.budget_at = now;
         s.owing = s.owing.max(Some(now + 2 * typical));
