--- a/src/decide.rs
+++ b/src/decide.rs
@@ -257,13 +257,21 @@
 
 impl Decider {
     pub fn new(facts: Facts) -> Self {
+        let guess = |g: &GroupFacts| {
+            let mut took = Histogram::default();
+            // Eight: a lone slow answer must not bar a group that is then never measured again; one of them
+            // as late as an answer may be, so that nothing is cut short before its usual time is known.
+            (0..7).for_each(|_| took.note((g.target / 4).max(MS), 256));
+            took.note(g.target, 256);
+            took
+        };
         let groups = facts.groups.iter().map(|g| Group {
             need: g.need,
             effect: g.effect,
             target: g.target,
             late: g.late,
             benefit: g.benefit,
-            took: Histogram::default(),
+            took: guess(g),
             typical: (g.target / 4).max(MS),
         });
         Decider {
@@ -789,7 +797,7 @@
     fn pick(&mut self, cmd: usize, owed: Option<Tenths>, reach: i64) -> Option<usize> {
         let c = &self.cmds[cmd];
         let set = &self.sets[c.set];
-        let mut best: Option<((i64, u32, bool, u32), usize)> = None;
+        let mut best: Option<((i64, u32, i64), usize)> = None;
         for &m in &set.members {
             let Some(s) = self.live(m) else { continue };
             let skipped = s.skipped_till > self.now
@@ -815,7 +823,11 @@
             if short > reach {
                 continue;
             }
-            let key = (short, s.in_flight, s.zone != self.facts.zone, self.rng.u32(..));
+            // By chance, in proportion to size and speed: where most are at nothing in flight, counting tells
+            // nothing. Half as much for another zone: all of it in this one would leave others idle.
+            let far = if s.zone == self.facts.zone { 1.0 } else { 2.0 };
+            let slow = s.slowness.mean().unwrap_or(100) as f64 * far / s.size.max(0.01);
+            let key = (short, s.in_flight, (-slow * (1.0 - self.rng.f64()).ln()) as i64);
             if best.is_none_or(|(k, _)| key < k) {
                 best = Some((key, m));
             }
@@ -857,6 +869,7 @@
         // A member that said 'replica' is asked again after a third of a second: an election takes longer.
         let now = self.now;
         let recent = |at: Option<Tenths>| at.is_some_and(|at| now - at < 300 * MS);
+        let mut rng = self.rng.clone();
         let turn = set.members.iter().copied().filter(|&m| {
             self.live(m).is_some_and(|s| {
                 c.missed & (1 << s.slot) == 0
@@ -867,10 +880,13 @@
                     && self.warm_enough(cmd, m)
             })
         });
-        let next = turn.min_by_key(|&m| {
+        // Those that said 'replica' last come last; else by chance, not all gateways at the same one.
+        let next = turn.map(|m| (m, fastrand::Rng::u32(&mut rng, ..))).min_by_key(|&(m, chance)| {
             let s = self.servers[m].as_ref();
-            s.map(|s| (s.skipped_till > now, s.asked_at, m))
+            s.map(|s| (s.skipped_till > now, s.word_at, chance))
         });
+        let next = next.map(|(m, _)| m);
+        self.rng = rng;
         if let Some(s) = next.and_then(|m| self.servers[m].as_mut()) {
             s.asked_at = Some(now);
         }
@@ -908,7 +924,7 @@
         // time out (from 4 % to 10 %, about what heavy tails of work alone give) down to 0.3 for the least
         // benefit per work; with 0.3 always, quiet days throttle long commands whose bare work fills it.
         let rank = if g.only_primary() { 1.0 } else { self.rank(cmd) };
-        let scarce = ((self.ends[1] + 4.0) / (self.ends[0] + 40.0) * 16.0 - 0.6).clamp(0.0, 1.0);
+        let scarce = ((self.ends[1] + 1.6) / (self.ends[0] + 40.0) * 16.0 - 0.6).clamp(0.0, 1.0);
         let limit = left * (0.6 - 0.3 * scarce * (1.0 - rank));
         s.full_till <= self.now && self.expected(c.group, s) as f64 <= limit && self.warm_enough(cmd, server)
     }
