A server's few samples of slowness lean on what its set's others show

Now primary and replicas of a set are judged together, own samples on top, and both fade. Guards against any crowding of a set seen by gateways with little traffic; harm: one slow replica makes its mates look slower for a few seconds.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -115,6 +115,12 @@
         None
     }
 
+    /// The mean, as if two more had been `usual`.
+    fn mean_with(&self, usual: i64) -> i64 {
+        let n = i64::from(self.total);
+        (self.mean().unwrap_or(usual) * n + usual * 32) / (n + 32)
+    }
+
     fn mean(&self) -> Option<i64> {
         let sum: i64 = (0..16).map(|bin| i64::from(self.bins[bin]) * Self::TOPS[bin] * 5 / 6).sum();
         (self.total > 0).then(|| sum / i64::from(self.total))
@@ -194,6 +200,9 @@
     said_at: Option<Tenths>,
     /// Sessions forgotten here must still see this.
     floor: Tenths,
+    /// Slowness of its primary and of its replicas.
+    slowness: [Histogram; 2],
+    halved: Tenths,
 }
 
 struct Command {
@@ -440,6 +449,8 @@
         let warm = self.servers[sent.server].as_ref().is_some_and(|s| self.coldness(s).is_none());
         let work = if warm { self.work(group) } else { 0.0 };
         let Some(s) = self.servers[sent.server].as_mut() else { return };
+        let set = &mut self.sets[s.set];
+        let alike = &mut set.slowness[usize::from(set.primary != Some(sent.server))];
         s.in_flight = s.in_flight.saturating_sub(1);
         if s.in_flight == 0 {
             s.owing = None;
@@ -454,12 +465,16 @@
                 self.groups[group].note(e.took);
                 // Twelve: enough for a mean, few enough to follow a stall within a second.
                 s.slowness.note(e.took * 100 / typical, 12);
+                alike.note(e.took * 100 / typical, 24);
                 s.depth.note(i64::from(sent.depth) * 100, 12);
                 s.answers += 1;
                 self.warm_work += work;
             }
             // What was waited for in vain is a measure too, if only of the least.
-            Ending::TimedOut => s.slowness.note(e.took * 100 / typical, 12),
+            Ending::TimedOut => {
+                s.slowness.note(e.took * 100 / typical, 12);
+                alike.note(e.took * 100 / typical, 24);
+            }
             Ending::Full => s.slowness.note(target * 200 / typical, 12),
             Ending::Error => s.errors += 1,
             Ending::Missed if hold > 0 && e.took >= hold => s.behind_till = now + PASS_OVER,
@@ -666,6 +681,10 @@
             self.customers.iter_mut().for_each(|c| c.came *= 0.7);
             self.weigh();
         }
+        for set in self.sets.iter_mut().filter(|s| now - s.halved >= 1000 * MS) {
+            set.halved = now;
+            set.slowness.iter_mut().for_each(Histogram::halve);
+        }
         for s in self.servers.iter_mut().flatten().filter(|s| now - s.halved >= 500 * MS) {
             s.halved = now;
             s.slowness.halve();
@@ -894,13 +913,13 @@
     }
 
     /// How long an answer from this server is likely to take.
-    fn expected(&self, group: usize, s: &Server) -> Tenths {
+    fn expected(&self, group: usize, server: usize, s: &Server) -> Tenths {
         let typical = self.groups[group].typical;
-        // With nothing out, one dispatch may find out.
-        let find_out = s.in_flight == 0;
-        // Few samples say little: as if two more had been usual.
-        let (mean, n) = (s.slowness.mean().unwrap_or(100), i64::from(s.slowness.total));
-        let slow = if find_out { 100 } else { (mean * n + 100 * 32) / (n + 32) };
+        // Few samples say little: as if two more had been as of late in the set, and those as if two usual.
+        let set = &self.sets[s.set];
+        let alike = &set.slowness[usize::from(set.primary != Some(server))];
+        let slow = alike.mean_with(100);
+        let slow = s.slowness.mean_with(slow);
         // Deeper than when this was measured, by more than one: as much slower where the server is slow (1.6
         // times the usual), half of that where it is not, as it then has cores to spare.
         let depth = i64::from(s.in_flight + 1) * 100;
@@ -926,7 +945,9 @@
         let rank = if g.only_primary() { 1.0 } else { self.rank(cmd) };
         let scarce = ((self.ends[1] + 1.6) / (self.ends[0] + 40.0) * 16.0 - 0.6).clamp(0.0, 1.0);
         let limit = left * (0.6 - 0.3 * scarce * (1.0 - rank));
-        s.full_till <= self.now && self.expected(c.group, s) as f64 <= limit && self.warm_enough(cmd, server)
+        s.full_till <= self.now
+            && self.expected(c.group, server, s) as f64 <= limit
+            && self.warm_enough(cmd, server)
     }
 
     fn coldness(&self, s: &Server) -> Option<f64> {
