--- a/src/decide.rs
+++ b/src/decide.rs
@@ -681,7 +681,7 @@
             self.customers.iter_mut().for_each(|c| c.came *= 0.7);
             self.weigh();
         }
-        for set in self.sets.iter_mut().filter(|s| now - s.halved >= 1000 * MS) {
+        for set in self.sets.iter_mut().filter(|s| now - s.halved >= 2500 * MS) {
             set.halved = now;
             set.slowness.iter_mut().for_each(Histogram::halve);
         }
@@ -923,7 +923,9 @@
         // Deeper than when this was measured, by more than one: as much slower where the server is slow (1.6
         // times the usual), half of that where it is not, as it then has cores to spare.
         let depth = i64::from(s.in_flight + 1) * 100;
-        let usual = s.depth.mean().unwrap_or(depth) + 100;
+        let usual = s.depth.mean().map_or(depth, |usual| usual + 67);
+        // Where less than usual is out it is as much less slow; where little ever is, that says nothing.
+        let slow = if depth < usual { 100 + (slow - 100) * depth / usual } else { slow };
         let deeper = (depth - usual).max(0) * (slow - 100).clamp(30, 60) / 60;
         let took = typical * slow / 100 * (usual + deeper) / usual;
         took.max(s.owing.map_or(0, |since| self.now - since))
