--- a/src/decide.rs
+++ b/src/decide.rs
@@ -816,7 +816,7 @@
     fn pick(&mut self, cmd: usize, owed: Option<Tenths>, reach: i64) -> Option<usize> {
         let c = &self.cmds[cmd];
         let set = &self.sets[c.set];
-        let mut best: Option<((i64, u32, i64), usize)> = None;
+        let mut best: Option<((i64, u32, bool, i64), usize)> = None;
         for &m in &set.members {
             let Some(s) = self.live(m) else { continue };
             let skipped = s.skipped_till > self.now
@@ -846,7 +846,8 @@
             // nothing. Half as much for another zone: all of it in this one would leave others idle.
             let far = if s.zone == self.facts.zone { 1.0 } else { 2.0 };
             let slow = s.slowness.mean().unwrap_or(100) as f64 * far / s.size.max(0.01);
-            let key = (short, s.in_flight, (-slow * (1.0 - self.rng.f64()).ln()) as i64);
+            let key =
+                (short, s.in_flight, s.zone != self.facts.zone, (-slow * (1.0 - self.rng.f64()).ln()) as i64);
             if best.is_none_or(|(k, _)| key < k) {
                 best = Some((key, m));
             }
@@ -945,7 +946,7 @@
         // time out (from 4 % to 10 %, about what heavy tails of work alone give) down to 0.3 for the least
         // benefit per work; with 0.3 always, quiet days throttle long commands whose bare work fills it.
         let rank = if g.only_primary() { 1.0 } else { self.rank(cmd) };
-        let scarce = ((self.ends[1] + 1.6) / (self.ends[0] + 40.0) * 16.0 - 0.6).clamp(0.0, 1.0);
+        let scarce = ((self.ends[1] + 4.0) / (self.ends[0] + 40.0) * 16.0 - 0.6).clamp(0.0, 1.0);
         let limit = left * (0.6 - 0.3 * scarce * (1.0 - rank));
         s.full_till <= self.now
             && self.expected(c.group, server, s) as f64 <= limit
