--- a/src/decide.rs
+++ b/src/decide.rs
@@ -621,8 +621,8 @@
             set.primary = Some(e.server);
             out.push(Effect::Log(format!("set {}: list names primary {}", e.set, e.server)));
         }
-        if e.phase != Phase::Ready && set.primary == Some(e.server) {
-            set.primary = None;
+        if set.primary == Some(e.server) && self.live(e.server).is_none() {
+            self.sets[e.set].primary = None;
         }
     }
 
@@ -695,8 +695,9 @@
     }
 
     fn weigh(&mut self) {
-        let warm = |s: &&Server| s.phase == Phase::Ready && self.coldness(s).is_none();
-        self.warm_size = self.servers.iter().flatten().filter(warm).map(|s| s.size).sum();
+        let warm = |&m: &usize| self.live(m).is_some_and(|s| self.coldness(s).is_none());
+        self.warm_size =
+            (0..self.servers.len()).filter(warm).filter_map(|m| self.live(m)).map(|s| s.size).sum();
         self.best = self.groups.iter().map(Group::density).fold(f64::MIN_POSITIVE, f64::max);
     }
 
