Reads overflow to a primary by chance, less the more time out there; primaries passed on; module folded

Cause: while replicas lag, hundreds of quiet gateways each send a read now and then to a primary that none of them has measured. Now a read overflows by chance, the eighth power of the part of dispatches to primaries that end in time. It guards a primary whatever crowds it; harm: a primary that is slow for another reason gets fewer reads for some seconds.

--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -4,7 +4,7 @@
 
 use leverpoint::decide::Decider;
 use leverpoint::interface::{
-    Arrival, DispatchEnd, Effect, Ending, Input, Listed, Need, News, Phase, Tenths, Word,
+    Arrival, Claim, DispatchEnd, Effect, Ending, Input, Listed, Need, News, Phase, Tenths, Word,
 };
 
 use crate::settings::{self, Opened, down, up};
@@ -139,9 +139,9 @@
                 let input = Input::Probed { server, ok: status == 200, word };
                 self.decider.take(now, &input, &mut self.effects);
             }
-            Event::Told { from, payload } => {
-                let input = Input::Told { from: from as usize, bytes: payload };
-                self.decider.take(now, &input, &mut self.effects);
+            Event::Told { payload } => {
+                let claims: Vec<_> = payload.chunks_exact(8).filter_map(|c| self.claim(c)).collect();
+                self.decider.take(now, &Input::Told(&claims), &mut self.effects);
             }
             Event::Begun | Event::Select(_) | Event::Open { .. } | Event::List { .. } | Event::Stop => {}
         }
@@ -241,6 +241,14 @@
         })
     }
 
+    /// A claim as a peer sends it: the server's id, and the milliseconds of its word since the positions'
+    /// zero. One of a server that no own list has named is left out.
+    fn claim(&self, bytes: &[u8]) -> Option<Claim> {
+        let word = |at: usize| Some(u32::from_le_bytes(bytes.get(at..at + 4)?.try_into().ok()?));
+        let server = *self.servers.of.get(&word(0)?)?;
+        Some(Claim { server, at: down(self.opened.zero_ms + f64::from(word(4)?)) })
+    }
+
     fn reported(&self, load: &[f32]) -> Option<Word> {
         let field = |place: Option<usize>| load.get(place?).copied();
         Some(Word {
@@ -271,8 +279,10 @@
                 }
                 Effect::Timer { at, key } => reply.arm(at as f64 / 10.0, key),
                 Effect::Probe { server } => reply.touch(self.servers.ids[server]),
-                Effect::Tell { to, bytes } => {
-                    reply.publish(to.map_or(u16::MAX, |peer| peer as u16), &bytes);
+                Effect::Tell(claim) => {
+                    let since_zero = claim.at as f64 / 10.0 - self.opened.zero_ms;
+                    let words = [self.servers.ids[claim.server], since_zero as u32];
+                    reply.publish(u16::MAX, &words.map(u32::to_le_bytes).concat());
                 }
                 Effect::AskList => reply.list_all(),
                 Effect::FollowList(on) => reply.tail(on),
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -133,7 +133,7 @@
     Hangup(u32),
     Due(u32),
     Echo { server: u32, status: u16, load: Vec<f32> },
-    Told { from: u32, payload: &'a [u8] },
+    Told { payload: &'a [u8] },
     Stop,
 }
 
@@ -214,9 +214,9 @@
                 Event::Echo { server, status, load: c.load()? }
             }
             9 => {
-                let from = c.u32()?;
+                c.u32()?;
                 let n = usize::from(c.u16()?);
-                Event::Told { from, payload: c.take(n)? }
+                Event::Told { payload: c.take(n)? }
             }
             10 => Event::Stop,
             11 => {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -11,8 +11,9 @@
 //!    failing or full servers return one dispatch at a time (`suspect`);
 //! 3. cold budget: a server that has just started gets its part of a warm server's work (`warm_enough`);
 //! 4. customers' shares: in a shortage, what is beyond a share goes last (`over_share`);
-//! 5. believed positions: a replica is taken to have kept its lag (`believed`);
-//! 6. gathering: reads that owe nothing go to the replica furthest behind (`pick`).
+//! 5. believed positions: a replica is taken to have kept its lag (`believed`); reads that owe nothing go
+//!    to the one furthest behind (`pick`);
+//! 6. passing on: a gateway tells the others which server has said that it is a primary (`told`).
 
 use std::collections::VecDeque;
 
@@ -20,8 +21,9 @@
 
 const MS: Tenths = 10;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
+    #[default]
     New,
     Lined,
     Held,
@@ -69,13 +71,6 @@
     (State::Over, Seen::HungUp, State::Over, Act::Rest),
 ];
 
-/// Why a server is passed over.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Why {
-    Silent,
-    Failing,
-}
-
 /// Few coarse bins, each half as wide again as the one before; halved now and then.
 #[derive(Clone, Default)]
 struct Histogram {
@@ -115,28 +110,18 @@
         None
     }
 
-    /// The mean, as if two more had been `usual`.
-    fn mean_with(&self, usual: i64) -> i64 {
-        let n = i64::from(self.total);
-        (self.mean().unwrap_or(usual) * n + usual * 32) / (n + 32)
-    }
-
-    fn mean(&self) -> Option<i64> {
-        let sum: i64 = (0..16).map(|bin| i64::from(self.bins[bin]) * Self::TOPS[bin] * 5 / 6).sum();
-        (self.total > 0).then(|| sum / i64::from(self.total))
+    /// The mean, as if `more` others had been `usual`.
+    fn mean(&self, usual: i64, more: i64) -> i64 {
+        let sum: i64 = self.bins.iter().zip(Self::TOPS).map(|(&n, top)| i64::from(n) * top * 5 / 6).sum();
+        if self.total == 0 { usual } else { (sum + usual * more * 16) / (i64::from(self.total) + more * 16) }
     }
 }
 
 /// What differs by command group.
 struct Group {
-    need: Need,
-    effect: Effects,
-    target: Tenths,
-    late: f64,
-    benefit: f64,
+    facts: GroupFacts,
     took: Histogram,
-    /// Median time of an answer. Before anything is measured: a quarter of the target, as a
-    /// deployment that could not do that would have asked for a later one.
+    /// Median time of an answer; at first a quarter of the target, as more would ask for a later one.
     typical: Tenths,
 }
 
@@ -147,18 +132,18 @@
     }
 
     fn only_primary(&self) -> bool {
-        matches!(self.need, Need::Write | Need::Fresh)
+        matches!(self.facts.need, Need::Write | Need::Fresh)
     }
 
     fn density(&self) -> f64 {
-        self.benefit / self.typical as f64
+        self.facts.benefit / self.typical as f64
     }
 }
 
 #[derive(Default)]
 struct Server {
+    known: bool,
     set: usize,
-    slot: u32,
     zone: usize,
     phase: Phase,
     drained: bool,
@@ -205,6 +190,7 @@
     halved: Tenths,
 }
 
+#[derive(Default)]
 struct Command {
     state: State,
     group: usize,
@@ -214,10 +200,12 @@
     came: Tenths,
     ends: Tenths,
     over_share: bool,
+    /// From 0 to 1, drawn when it came.
+    luck: f64,
     repeat: bool,
     dispatches: u32,
     further: bool,
-    missed: u64,
+    missed: Vec<usize>,
     /// When the first dispatch that may have run was sent.
     doubt: Option<Tenths>,
     doubt_zone: usize,
@@ -232,18 +220,14 @@
     depth: u32,
 }
 
-struct Customer {
-    share: f64,
-    came: f64,
-}
-
 pub struct Decider {
     facts: Facts,
     rng: fastrand::Rng,
     now: Tenths,
     groups: Vec<Group>,
-    customers: Vec<Customer>,
-    servers: Vec<Option<Server>>,
+    /// Commands of each customer, fading.
+    came: Vec<f64>,
+    servers: Vec<Server>,
     sets: Vec<Set>,
     cmds: Vec<Command>,
     first: VecDeque<usize>,
@@ -258,7 +242,7 @@
     /// Listed size of the servers that are ready and warm.
     warm_size: f64,
     /// How many dispatches have ended of late, and how many of them by time-out; fades within seconds.
-    ends: [f64; 2],
+    ends: [[f64; 2]; 2],
     /// Density of the best group.
     best: f64,
     follow_at: Option<Tenths>,
@@ -266,28 +250,19 @@
 
 impl Decider {
     pub fn new(facts: Facts) -> Self {
-        let guess = |g: &GroupFacts| {
-            let mut took = Histogram::default();
+        let groups = facts.groups.iter().map(|g| {
+            let (mut took, typical) = (Histogram::default(), (g.target / 4).max(MS));
             // Eight: a lone slow answer must not bar a group that is then never measured again; one of them
             // as late as an answer may be, so that nothing is cut short before its usual time is known.
-            (0..7).for_each(|_| took.note((g.target / 4).max(MS), 256));
+            (0..7).for_each(|_| took.note(typical, 256));
             took.note(g.target, 256);
-            took
-        };
-        let groups = facts.groups.iter().map(|g| Group {
-            need: g.need,
-            effect: g.effect,
-            target: g.target,
-            late: g.late,
-            benefit: g.benefit,
-            took: guess(g),
-            typical: (g.target / 4).max(MS),
+            Group { facts: g.clone(), took, typical }
         });
         Decider {
             rng: fastrand::Rng::with_seed(facts.seed),
             now: 0,
             groups: groups.collect(),
-            customers: facts.customers.iter().map(|c| Customer { share: c.share, came: 0.0 }).collect(),
+            came: vec![0.0; facts.customers.len()],
             servers: Vec::new(),
             sets: Vec::new(),
             cmds: Vec::new(),
@@ -300,7 +275,7 @@
             halved: 0,
             warm_work: 0.0,
             warm_size: 0.0,
-            ends: [0.0; 2],
+            ends: [[0.0; 2]; 2],
             best: f64::MIN_POSITIVE,
             follow_at: (!facts.list.pushed).then_some(Tenths::MIN),
             facts,
@@ -320,12 +295,9 @@
                 self.armed = false;
                 self.recall();
             }
-            Input::Probed { server, ok, word } => {
-                if *ok {
-                    self.heard(*server, *word, out);
-                }
-            }
-            Input::Told { .. } => {}
+            Input::Probed { server, ok: true, word } => self.heard(*server, *word, out),
+            Input::Probed { .. } => {}
+            Input::Told(claims) => claims.iter().for_each(|claim| self.told(claim, out)),
         }
         self.follow(out);
         self.serve(out);
@@ -337,27 +309,18 @@
             let state = self.cmds[cmd].state;
             let Some(row) = TABLE.iter().find(|row| row.0 == state && row.1 == seen) else { return };
             self.cmds[cmd].state = row.2;
-            next = match row.3 {
-                Act::Rest => None,
-                Act::JoinFirst => {
-                    self.first.push_back(cmd);
-                    None
-                }
+            next = None;
+            match row.3 {
+                Act::Rest => {}
+                Act::JoinFirst => self.first.push_back(cmd),
                 Act::JoinFurther => {
                     self.cmds[cmd].further = true;
                     self.further.push_back(cmd);
-                    None
-                }
-                Act::Place => Some(self.place(cmd, out)),
-                Act::Hold => {
-                    self.held.push(cmd);
-                    None
-                }
-                Act::GiveUp => {
-                    self.give_up(cmd, out);
-                    None
                 }
-            };
+                Act::Place => next = Some(self.place(cmd, out)),
+                Act::Hold => self.held.push(cmd),
+                Act::GiveUp => self.give_up(cmd, out),
+            }
         }
     }
 
@@ -371,7 +334,6 @@
         };
         let over_share = self.over_share(a.customer);
         let fresh = Command {
-            state: State::New,
             group: a.group,
             set: a.set,
             session: a.session,
@@ -379,13 +341,9 @@
             came: self.now,
             ends: a.ends,
             over_share,
+            luck: self.rng.f64(),
             repeat: a.repeat,
-            dispatches: 0,
-            further: false,
-            missed: 0,
-            doubt: None,
-            doubt_zone: 0,
-            out: Vec::new(),
+            ..Command::default()
         };
         self.set(a.set);
         if a.cmd < self.cmds.len() {
@@ -400,10 +358,10 @@
     /// Guards against one customer's surge pushing out the others; acts only where room is short. Harm: a
     /// gateway that serves mostly one customer marks part of its commands though the share is kept.
     fn over_share(&mut self, customer: usize) -> bool {
-        let total: f64 = self.customers.iter().map(|c| c.came).sum();
-        let Some(c) = self.customers.get_mut(customer) else { return false };
-        c.came += 1.0;
-        let excess = 1.0 - c.share * (total + 1.0) / c.came;
+        let Some(came) = self.came.get_mut(customer) else { return false };
+        *came += 1.0;
+        let due = self.facts.customers[customer].share * self.came.iter().sum::<f64>();
+        let excess = 1.0 - due / self.came[customer];
         self.rng.f64() < excess
     }
 
@@ -414,16 +372,14 @@
         let (group, set, session) = (cmd.group, cmd.set, cmd.session);
         if !e.ending.never_ran() && cmd.doubt.is_none() {
             cmd.doubt = Some(sent.sent);
-            cmd.doubt_zone = self.servers[sent.server].as_ref().map_or(0, |s| s.zone);
+            cmd.doubt_zone = self.servers[sent.server].zone;
         }
-        if e.ending == Ending::Missed
-            && let Some(s) = &self.servers[sent.server]
-        {
-            cmd.missed |= 1 << s.slot;
+        if e.ending == Ending::Missed {
+            cmd.missed.push(sent.server);
         }
         let still_out = !cmd.out.is_empty();
         self.account(e, &sent, group, out);
-        let write = self.groups[group].need == Need::Write;
+        let write = self.groups[group].facts.need == Need::Write;
         if let (true, Ending::Answered, Some(s), Some(Word { position: Some(p), .. })) =
             (write, e.ending, session, e.word)
         {
@@ -445,36 +401,31 @@
         let now = self.now;
         let hold = self.hold();
         let typical = self.groups[group].typical;
-        let target = self.groups[group].target;
-        let warm = self.servers[sent.server].as_ref().is_some_and(|s| self.coldness(s).is_none());
+        let target = self.groups[group].facts.target;
+        let warm = self.coldness(&self.servers[sent.server]).is_none();
         let work = if warm { self.work(group) } else { 0.0 };
-        let Some(s) = self.servers[sent.server].as_mut() else { return };
+        let s = &mut self.servers[sent.server];
         let set = &mut self.sets[s.set];
-        let alike = &mut set.slowness[usize::from(set.primary != Some(sent.server))];
+        let role = usize::from(set.primary != Some(sent.server));
+        let alike = &mut set.slowness[role];
         s.in_flight = s.in_flight.saturating_sub(1);
-        if s.in_flight == 0 {
-            s.owing = None;
-        }
-        let timed_out = e.ending == Ending::TimedOut;
-        if timed_out || e.ending == Ending::Answered {
-            self.ends = [self.ends[0] + 1.0, self.ends[1] + f64::from(u8::from(timed_out))];
+        s.owing = s.owing.filter(|_| s.in_flight > 0);
+        if matches!(e.ending, Ending::Answered | Ending::TimedOut) {
+            self.ends[role][0] += 1.0;
+            self.ends[role][1] += f64::from(u8::from(e.ending == Ending::TimedOut));
+            // What was waited for in vain is a measure too, if only of the least. Twelve of a server: enough
+            // for a mean, few enough to follow a stall within a second.
+            s.slowness.note(e.took * 100 / typical, 12);
+            alike.note(e.took * 100 / typical, 24);
         }
         let unheard = s.heard <= sent.sent;
         match e.ending {
             Ending::Answered => {
                 self.groups[group].note(e.took);
-                // Twelve: enough for a mean, few enough to follow a stall within a second.
-                s.slowness.note(e.took * 100 / typical, 12);
-                alike.note(e.took * 100 / typical, 24);
                 s.depth.note(i64::from(sent.depth) * 100, 12);
                 s.answers += 1;
                 self.warm_work += work;
             }
-            // What was waited for in vain is a measure too, if only of the least.
-            Ending::TimedOut => {
-                s.slowness.note(e.took * 100 / typical, 12);
-                alike.note(e.took * 100 / typical, 24);
-            }
             Ending::Full => s.slowness.note(target * 200 / typical, 12),
             Ending::Error => s.errors += 1,
             Ending::Missed if hold > 0 && e.took >= hold => s.behind_till = now + PASS_OVER,
@@ -489,44 +440,39 @@
                 // Three in a row over a second, half the design's margin: fewer are told of busy servers too.
                 let long = s.quiet.is_some_and(|since| now - since >= hold + MARGIN / 2);
                 if s.mute >= 3 && long {
-                    self.suspect(sent.server, PASS_OVER, Why::Silent, out);
+                    self.suspect(sent.server, PASS_OVER, true, out);
                 }
             }
             Ending::NotConnected | Ending::Reset if unheard => {
-                self.suspect(sent.server, PASS_OVER, Why::Silent, out);
+                self.suspect(sent.server, PASS_OVER, true, out);
             }
             _ => {}
         }
-        let Some(s) = self.servers[sent.server].as_ref() else { return };
+        let s = &mut self.servers[sent.server];
         // A third: well above the error rates of a sound server, below those of one that hurts.
         if e.ending == Ending::Error && s.errors >= 3 && s.errors * 2 > s.answers {
-            self.suspect(sent.server, PASS_OVER / 5, Why::Failing, out);
-        } else if e.ending == Ending::Full
-            && let Some(s) = self.servers[sent.server].as_mut()
-        {
+            self.suspect(sent.server, PASS_OVER / 5, false, out);
+        } else if e.ending == Ending::Full {
             // A fifth of a second: a full queue takes that long to make some room.
             s.full_till = now + 200 * MS;
         }
     }
 
-    /// Guards against servers that are gone, hung, cut off, failing or full, whatever the cause: skipped for
-    /// a while, then tried with one dispatch at a time until heard. Harm: a server that stalls briefly
-    /// loses its share for the window.
-    fn suspect(&mut self, server: usize, window: Tenths, why: Why, out: &mut Vec<Effect>) {
+    /// Guards against servers that are gone, hung, cut off or failing: skipped for a while, then tried with
+    /// one dispatch at a time until heard. Harm: one that stalls briefly loses its share for the window.
+    fn suspect(&mut self, server: usize, window: Tenths, silent: bool, out: &mut Vec<Effect>) {
         let now = self.now;
-        let Some(s) = self.servers[server].as_mut() else { return };
+        let s = &mut self.servers[server];
         let known = s.suspect && s.skipped_till > now;
         s.skipped_till = s.skipped_till.max(now + window);
         s.suspect = true;
-        s.silent |= why == Why::Silent;
+        s.silent |= silent;
         let set = s.set;
         if !known {
-            out.push(Effect::Log(format!(
-                "server {server} passed over: {}",
-                if why == Why::Silent { "silent" } else { "failing" }
-            )));
+            let why = if silent { "silent" } else { "failing" };
+            out.push(Effect::Log(format!("server {server} passed over: {why}")));
         }
-        if why == Why::Silent && self.sets[set].primary == Some(server) {
+        if silent && self.sets[set].primary == Some(server) {
             self.sets[set].primary = None;
             out.push(Effect::Log(format!("set {set}: primary {server} is silent, now unknown")));
         }
@@ -534,7 +480,7 @@
 
     fn heard(&mut self, server: usize, word: Option<Word>, out: &mut Vec<Effect>) {
         let now = self.now;
-        let Some(s) = self.servers.get_mut(server).and_then(|s| s.as_mut()) else { return };
+        let Some(s) = self.servers.get_mut(server) else { return };
         s.heard = now;
         s.owing = s.owing.max(Some(now)).filter(|_| s.in_flight > 0);
         (s.quiet, s.mute) = (None, 0);
@@ -550,6 +496,9 @@
             if set.primary != Some(server) {
                 set.primary = Some(server);
                 out.push(Effect::Log(format!("set {}: primary is {server}", s.set)));
+                if self.facts.allowed.peers {
+                    out.push(Effect::Tell(Claim { server, at: now }));
+                }
                 self.recall();
             }
         } else if set.primary == Some(server) {
@@ -558,6 +507,27 @@
         }
     }
 
+    /// A server's word that it is the primary counts as much when another gateway has passed it on, unless an
+    /// answer here is newer. Guards quiet gateways, for whom one round of misses costs half of a command's
+    /// dispatches; what is lost or late leaves the ordinary path. Harm: a false word spreads until refuted.
+    fn told(&mut self, claim: &Claim, out: &mut Vec<Effect>) {
+        let at = claim.at.min(self.now);
+        let Some(s) = self.servers.get(claim.server) else { return };
+        let set = &mut self.sets[s.set];
+        if set.said_at.is_some_and(|said| said >= at) || s.word_at.is_some_and(|word| word >= at) {
+            return;
+        }
+        set.said_at = Some(at);
+        if set.primary != Some(claim.server) {
+            set.primary = Some(claim.server);
+            out.push(Effect::Log(format!(
+                "set {}: primary is {}, another gateway says",
+                s.set, claim.server
+            )));
+            self.recall();
+        }
+    }
+
     fn list(&mut self, news: News, entries: &[Listed], out: &mut Vec<Effect>) {
         if news == News::Failed {
             // A second: the list is one service for all gateways and may be overrun.
@@ -565,7 +535,7 @@
             return;
         }
         if news != News::Changes {
-            for s in self.servers.iter_mut().flatten() {
+            for s in self.servers.iter_mut() {
                 s.phase = Phase::Gone;
             }
         }
@@ -578,25 +548,24 @@
 
     fn listed(&mut self, e: &Listed, out: &mut Vec<Effect>) {
         if self.servers.len() <= e.server {
-            self.servers.resize_with(e.server + 1, || None);
+            self.servers.resize_with(e.server + 1, Server::default);
         }
         self.set(e.set);
         let now = self.now;
-        if self.servers[e.server].is_none() {
-            let slot = self.sets[e.set].members.len() as u32 % 64;
+        if !self.servers[e.server].known {
             self.sets[e.set].members.push(e.server);
-            self.servers[e.server] = Some(Server {
+            self.servers[e.server] = Server {
+                known: true,
                 set: e.set,
-                slot,
                 zone: e.zone,
                 started: e.started,
                 heard: now,
                 halved: now,
                 budget_at: now,
                 ..Server::default()
-            });
+            };
         }
-        let Some(s) = self.servers[e.server].as_mut() else { return };
+        let s = &mut self.servers[e.server];
         if e.started > s.started {
             s.started = e.started;
             (s.skipped_till, s.behind_till, s.suspect) = (0, 0, false);
@@ -608,9 +577,9 @@
         let newly = e.primary && !s.listed_primary;
         s.listed_primary = e.primary;
         let refuted = s.word_at.is_some();
-        let set = &mut self.sets[e.set];
-        // The list is late: it names a primary only where no answer has spoken since, or where it changes
-        // its own word and answers have been still for longer than a list is late (ten seconds).
+        let set = &mut self.sets[s.set];
+        // The list is late: it names a primary only where no answer has spoken, or where it changes its own
+        // word and answers have been still for ten seconds, longer than a list is late.
         let still = set.said_at.is_none_or(|at| now - at > 10_000 * MS);
         if e.primary
             && e.phase == Phase::Ready
@@ -619,10 +588,10 @@
             && still
         {
             set.primary = Some(e.server);
-            out.push(Effect::Log(format!("set {}: list names primary {}", e.set, e.server)));
+            out.push(Effect::Log(format!("set {}: list names primary {}", s.set, e.server)));
         }
         if set.primary == Some(e.server) && self.live(e.server).is_none() {
-            self.sets[e.set].primary = None;
+            self.sets[self.servers[e.server].set].primary = None;
         }
     }
 
@@ -677,15 +646,15 @@
         if now - self.halved >= 1000 * MS {
             self.halved = now;
             self.warm_work /= 2.0;
-            self.ends = self.ends.map(|n| n * 0.8);
-            self.customers.iter_mut().for_each(|c| c.came *= 0.7);
+            self.ends = self.ends.map(|ends| ends.map(|n| n * 0.8));
+            self.came.iter_mut().for_each(|n| *n *= 0.7);
             self.weigh();
         }
         for set in self.sets.iter_mut().filter(|s| now - s.halved >= 2500 * MS) {
             set.halved = now;
             set.slowness.iter_mut().for_each(Histogram::halve);
         }
-        for s in self.servers.iter_mut().flatten().filter(|s| now - s.halved >= 500 * MS) {
+        for s in self.servers.iter_mut().filter(|s| now - s.halved >= 500 * MS) {
             s.halved = now;
             s.slowness.halve();
             s.depth.halve();
@@ -745,7 +714,7 @@
     }
 
     fn target_left(&self, c: &Command) -> Tenths {
-        c.came + self.groups[c.group].target - self.now
+        c.came + self.groups[c.group].facts.target - self.now
     }
 
     fn place(&mut self, cmd: usize, out: &mut Vec<Effect>) -> Seen {
@@ -755,17 +724,17 @@
         let target_left = self.target_left(c);
         if left <= 0
             || c.dispatches >= self.facts.allowed.dispatches
-            || (g.late <= 0.0 && target_left < g.typical / 2)
+            || (g.facts.late <= 0.0 && target_left < g.typical / 2)
             || !self.may_go_again(c)
         {
             return Seen::Hopeless;
         }
-        let owed = match g.need {
+        let owed = match g.facts.need {
             Need::Session => c.token,
             Need::Bounded(bound) => Some(self.now - bound),
             _ => None,
         };
-        let found = match g.need {
+        let found = match g.facts.need {
             _ if g.only_primary() => self.primary(cmd),
             // After a miss the read goes to a replica known to cover it, else the primary, and only where
             // that has no room to one believed to.
@@ -773,7 +742,7 @@
                 self.pick(cmd, owed, 0).or_else(|| self.overflow(cmd, owed))
             }
             _ => {
-                let missed = c.missed != 0;
+                let missed = !c.missed.is_empty();
                 let found = self.pick(cmd, owed, if missed { 0 } else { i64::MAX });
                 let found = found.or_else(|| self.overflow(cmd, owed));
                 found.or_else(|| if missed { self.pick(cmd, owed, 1) } else { None })
@@ -787,7 +756,7 @@
 
     /// Whether the rule on double effects lets the command be dispatched once more.
     fn may_go_again(&self, c: &Command) -> bool {
-        match (c.doubt, self.groups[c.group].effect) {
+        match (c.doubt, self.groups[c.group].facts.effect) {
             (None, _) | (_, Effects::Replayable) => true,
             (_, Effects::Mutating) => false,
             // The window runs from the first dispatch that may have run; a tick is kept in hand.
@@ -798,12 +767,12 @@
     /// Whether this server would know a repeat of a keyed command that may have run.
     fn drops_repeat(&self, cmd: usize, server: usize) -> bool {
         let c = &self.cmds[cmd];
-        let zoned = matches!(self.groups[c.group].effect, Effects::Keyed { reach: Reach::Zone, .. });
-        !zoned || c.doubt.is_none() || self.servers[server].as_ref().is_some_and(|s| s.zone == c.doubt_zone)
+        let zoned = matches!(self.groups[c.group].facts.effect, Effects::Keyed { reach: Reach::Zone, .. });
+        !zoned || c.doubt.is_none() || self.servers[server].zone == c.doubt_zone
     }
 
     fn live(&self, server: usize) -> Option<&Server> {
-        let s = self.servers.get(server)?.as_ref()?;
+        let s = &self.servers[server];
         let barred = match s.phase {
             Phase::Ready => false,
             Phase::Draining => true,
@@ -817,20 +786,19 @@
     fn pick(&mut self, cmd: usize, owed: Option<Tenths>, reach: i64) -> Option<usize> {
         let c = &self.cmds[cmd];
         let set = &self.sets[c.set];
-        let mut best: Option<((i64, u32, bool, i64), usize)> = None;
+        let mut best: Option<(_, usize)> = None;
         for &m in &set.members {
             let Some(s) = self.live(m) else { continue };
             let skipped = s.skipped_till > self.now
                 || (s.suspect && s.in_flight > 0)
                 || (owed.is_some() && s.behind_till > self.now);
-            if set.primary == Some(m) || skipped || c.missed & (1 << s.slot) != 0 || !self.room(cmd, m) {
+            if set.primary == Some(m) || skipped || c.missed.contains(&m) || !self.room(cmd, m) {
                 continue;
             }
             let short = match (owed, s.position) {
-                // Exception: what owes nothing goes where owed reads can't, to the replica furthest behind of
-                // those behind by 400 ms (past a usual lag, far below a bound). All gateways read the same
-                // positions and gather there. Guards the replicas that keep up or could, whether lag comes
-                // from long queries, a slow disk or crowding; harm: the one furthest behind fills up first.
+                // What owes nothing goes to the replica furthest behind of those behind by 400 ms (past usual
+                // lag, far below a bound); all gateways read the same positions and gather there. Guards the
+                // replicas that keep up, whatever holds up the others; harm: that one fills up first.
                 (None, Some(p)) if self.now - self.believed(s) > 400 * MS => p - self.now,
                 (None, _) => 0,
                 (Some(owed), Some(p)) if p >= owed => 0,
@@ -846,7 +814,7 @@
             // By chance, in proportion to size and speed: where most are at nothing in flight, counting tells
             // nothing. Half as much for another zone: all of it in this one would leave others idle.
             let far = if s.zone == self.facts.zone { 1.0 } else { 2.0 };
-            let slow = s.slowness.mean().unwrap_or(100) as f64 * far / s.size.max(0.01);
+            let slow = s.slowness.mean(100, 2) as f64 * far / s.size.max(0.01);
             let key =
                 (short, s.in_flight, s.zone != self.facts.zone, (-slow * (1.0 - self.rng.f64()).ln()) as i64);
             if best.is_none_or(|(k, _)| key < k) {
@@ -869,7 +837,9 @@
         let p = self.sets[self.cmds[cmd].set].primary?;
         let s = self.live(p)?;
         let unsure = owed.is_some() && self.facts.check == Check::None && s.word_at.is_none();
-        (!unsure && self.room(cmd, p)).then_some(p)
+        let [all, late] = self.ends[0];
+        let spared = self.cmds[cmd].luck > (1.0 - late / (all + 4.0)).powi(8);
+        (!unsure && !spared && self.room(cmd, p)).then_some(p)
     }
 
     /// The primary as last said; while it is unknown, the members in turn, each asked once in a while.
@@ -879,39 +849,30 @@
         if let Some(p) = set.primary {
             return (self.live(p).is_some() && self.room(cmd, p)).then_some(p);
         }
-        if c.dispatches * 2 >= self.facts.allowed.dispatches {
-            return None;
-        }
-        let fresh_read_unchecked =
-            self.groups[c.group].need == Need::Fresh && self.facts.check == Check::None;
-        if fresh_read_unchecked {
+        let unchecked = self.groups[c.group].facts.need == Need::Fresh && self.facts.check == Check::None;
+        if unchecked || c.dispatches * 2 >= self.facts.allowed.dispatches {
             return None;
         }
         // A member that said 'replica' is asked again after a third of a second: an election takes longer.
         let now = self.now;
         let recent = |at: Option<Tenths>| at.is_some_and(|at| now - at < 300 * MS);
-        let mut rng = self.rng.clone();
-        let turn = set.members.iter().copied().filter(|&m| {
-            self.live(m).is_some_and(|s| {
-                c.missed & (1 << s.slot) == 0
-                    && !recent(s.word_at)
-                    && !recent(s.asked_at)
-                    && (s.skipped_till <= now || s.in_flight == 0)
-                    && s.full_till <= now
-                    && self.warm_enough(cmd, m)
-            })
-        });
         // Those that said 'replica' last come last; else by chance, not all gateways at the same one.
-        let next = turn.map(|m| (m, fastrand::Rng::u32(&mut rng, ..))).min_by_key(|&(m, chance)| {
-            let s = self.servers[m].as_ref();
-            s.map(|s| (s.skipped_till > now, s.word_at, chance))
-        });
-        let next = next.map(|(m, _)| m);
-        self.rng = rng;
-        if let Some(s) = next.and_then(|m| self.servers[m].as_mut()) {
-            s.asked_at = Some(now);
+        let mut next: Option<(_, usize)> = None;
+        for &m in &set.members {
+            let Some(s) = self.live(m) else { continue };
+            let skipped = s.skipped_till > now;
+            let passed_by = c.missed.contains(&m) || (skipped && s.in_flight > 0) || s.full_till > now;
+            if passed_by || recent(s.word_at.max(s.asked_at)) || !self.warm_enough(cmd, m) {
+                continue;
+            }
+            let key = (skipped, s.word_at, self.rng.u32(..));
+            if next.is_none_or(|(k, _)| key < k) {
+                next = Some((key, m));
+            }
         }
-        next
+        let (_, next) = next?;
+        self.servers[next].asked_at = Some(now);
+        Some(next)
     }
 
     /// How long an answer from this server is likely to take.
@@ -920,12 +881,12 @@
         // Few samples say little: as if two more had been as of late in the set, and those as if two usual.
         let set = &self.sets[s.set];
         let alike = &set.slowness[usize::from(set.primary != Some(server))];
-        let slow = alike.mean_with(100);
-        let slow = s.slowness.mean_with(slow);
-        // Deeper than when this was measured, by more than one: as much slower where the server is slow (1.6
-        // times the usual), half of that where it is not, as it then has cores to spare.
+        let slow = alike.mean(100, 2);
+        let slow = s.slowness.mean(slow, 2);
+        // Deeper than usual by more than one: as much slower where the server is slow (1.6 times the usual),
+        // half of that where it is not, as it then has cores to spare.
         let depth = i64::from(s.in_flight + 1) * 100;
-        let usual = s.depth.mean().map_or(depth, |usual| usual + 67);
+        let usual = s.depth.mean(depth - 67, 0) + 67;
         // Where less than usual is out it is as much less slow; where little ever is, that says nothing.
         let slow = if depth < usual { 100 + (slow - 100) * depth / usual } else { slow };
         let deeper = (depth - usual).max(0) * (slow - 100).clamp(30, 60) / 60;
@@ -937,17 +898,18 @@
     /// primary, a surge, a slow server, a flood after a change of primary. Groups with less benefit per work
     /// stay out first. Harm: a wrong measure keeps a sound server idle until it has faded (a second).
     fn room(&self, cmd: usize, server: usize) -> bool {
-        let Some(s) = self.servers[server].as_ref() else { return false };
+        let s = &self.servers[server];
         let c = &self.cmds[cmd];
         let g = &self.groups[c.group];
         let left = self.target_left(c);
         // Past its target a command gets as much of the target's room as it is still worth.
-        let left = if left > 0 { left as f64 } else { g.target as f64 * g.late };
+        let left = if left > 0 { left as f64 } else { g.facts.target as f64 * g.facts.late };
         // Up to 0.6 of the time left: at 1.0 queues stand where every answer is just late. Once dispatches
         // time out (from 4 % to 10 %, about what heavy tails of work alone give) down to 0.3 for the least
         // benefit per work; with 0.3 always, quiet days throttle long commands whose bare work fills it.
         let rank = if g.only_primary() { 1.0 } else { self.rank(cmd) };
-        let scarce = ((self.ends[1] + 4.0) / (self.ends[0] + 40.0) * 16.0 - 0.6).clamp(0.0, 1.0);
+        let [all, late] = [0, 1].map(|i| self.ends[0][i] + self.ends[1][i]);
+        let scarce = ((late + 4.0) / (all + 40.0) * 16.0 - 0.6).clamp(0.0, 1.0);
         let limit = left * (0.6 - 0.3 * scarce * (1.0 - rank));
         s.full_till <= self.now
             && self.expected(c.group, server, s) as f64 <= limit
@@ -966,10 +928,10 @@
         (self.groups[group].typical + 10 * MS) as f64
     }
 
-    /// Guards a cold server: it gets its part of what a warm one gets from this gateway, so that all
-    /// gateways together stay under what it can do. Harm: where all servers are cold, little is sent.
+    /// Guards a cold server, all gateways counted: it gets its part of what a warm one gets from this one.
+    /// Harm: where all servers are cold, little is sent.
     fn warm_enough(&self, cmd: usize, server: usize) -> bool {
-        let Some(s) = self.servers[server].as_ref() else { return false };
+        let s = &self.servers[server];
         let Some((budget, burst)) = self.cold_budget(s) else { return true };
         // What only the primary can take may use more of the multiple.
         let needed = self.groups[self.cmds[cmd].group].only_primary();
@@ -985,15 +947,14 @@
         Some(((s.budget + rate * (self.now - s.budget_at) as f64).min(burst), burst))
     }
 
-    /// Hold plus margin, or what the client's target leaves when that is less: twice what 95 % of answers
-    /// took, at least half and at most all of the time to the target. Acts where targets are nearer than
-    /// hold plus margin.
+    /// Hold plus margin, or where targets are nearer twice what 95 % of answers took, at least half and at
+    /// most all of the time to the target.
     fn patience(&self, cmd: usize, left: Tenths) -> Tenths {
         let c = &self.cmds[cmd];
         let g = &self.groups[c.group];
         let target_left = self.target_left(c);
         let aimed = if target_left > 0 { target_left } else { left };
-        let usual = g.took.quantile(95).unwrap_or(g.target / 2) * 2;
+        let usual = g.took.quantile(95).unwrap_or(g.facts.target / 2) * 2;
         let wait = usual.clamp(aimed / 2, aimed.max(1));
         wait.min(self.hold() + MARGIN.max(usual)).min(left).max(1)
     }
@@ -1002,8 +963,8 @@
         let now = self.now;
         let typical = self.groups[self.cmds[cmd].group].typical;
         let work = self.work(self.cmds[cmd].group);
-        let cold = self.servers[server].as_ref().and_then(|s| self.cold_budget(s));
-        let Some(s) = self.servers[server].as_mut() else { return };
+        let cold = self.cold_budget(&self.servers[server]);
+        let s = &mut self.servers[server];
         if let Some((budget, _)) = cold {
             s.budget = budget - work;
         }
@@ -1020,7 +981,7 @@
     /// What is given up gets its answer at once: throttled where a repeat is surely harmless, else failed.
     fn give_up(&mut self, cmd: usize, out: &mut Vec<Effect>) {
         let c = &self.cmds[cmd];
-        let harmless = match self.groups[c.group].effect {
+        let harmless = match self.groups[c.group].facts.effect {
             _ if c.doubt.is_none() && c.out.is_empty() => true,
             Effects::Replayable => true,
             Effects::Keyed { reach, .. } => reach == Reach::Everywhere,
@@ -1031,7 +992,7 @@
             return;
         }
         // By then what it waited for may have passed: as long as the command group's target.
-        let advice = self.groups[c.group].target.min(self.facts.allowed.longest_come_back);
+        let advice = self.groups[c.group].facts.target.min(self.facts.allowed.longest_come_back);
         out.push(Effect::Throttle { cmd, come_back: if self.facts.allowed.come_back { advice } else { 0 } });
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -214,6 +214,13 @@
     pub position: Option<Tenths>,
 }
 
+/// That a server said at this time that it is the primary of its set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claim {
+    pub server: usize,
+    pub at: Tenths,
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct DispatchEnd {
     pub cmd: usize,
@@ -234,8 +241,13 @@
     Ended(DispatchEnd),
     HungUp(usize),
     Due(u32),
-    Probed { server: usize, ok: bool, word: Option<Word> },
-    Told { from: usize, bytes: &'a [u8] },
+    Probed {
+        server: usize,
+        ok: bool,
+        word: Option<Word>,
+    },
+    /// What another gateway was told by servers that said they are primaries.
+    Told(&'a [Claim]),
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -265,10 +277,8 @@
     Probe {
         server: usize,
     },
-    Tell {
-        to: Option<usize>,
-        bytes: Vec<u8>,
-    },
+    /// To all other gateways.
+    Tell(Claim),
     AskList,
     FollowList(bool),
     /// The session's index is free to be given out again.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -122,6 +122,12 @@
         self.take(&format!("dispatch {cmd}.{nth} at {server}: {ending:?}"), &Input::Ended(end));
     }
 
+    /// Another gateway says that this server has just said it is the primary.
+    pub fn told(&mut self, server: usize) {
+        let claim = Claim { server, at: self.now };
+        self.take(&format!("told of primary {server}"), &Input::Told(&[claim]));
+    }
+
     /// Lets time pass, a timer every 10 ms.
     pub fn pass(&mut self, ms: Tenths) {
         for _ in 0..ms / 10 {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -192,3 +192,52 @@
     b.end(3, 0, Ending::Missed, Some((false, 9000 * MS)));
     assert_snapshot!(b.trace());
 }
+
+#[test]
+fn a_list_that_calls_all_gone_unseats_no_primary_where_only_draining_binds() {
+    let mut f = facts();
+    f.guard.only_draining_bars = true;
+    let mut b = Bench::with_set(f);
+    b.arrive(0, 4, Some(9));
+    b.end(0, 0, Ending::Answered, Some((true, 0)));
+    b.list(News::Whole, &[]);
+    b.arrive(1, 4, Some(9));
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn a_primary_is_passed_on_and_taken_over_unless_an_answer_is_newer() {
+    let mut f = facts();
+    f.allowed.peers = true;
+    let mut b = Bench::with_set(f);
+    b.told(2);
+    b.arrive(0, 4, Some(9));
+    b.end(0, 0, Ending::Missed, Some((false, 0)));
+    b.told(2);
+    b.end(0, 1, Ending::Answered, Some((true, 0)));
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn one_slow_answer_bars_no_group() {
+    let mut b = Bench::with_set(facts());
+    b.arrive(0, 1, None);
+    b.now += 390 * MS;
+    b.end(0, 0, Ending::Answered, Some((false, 0)));
+    b.arrive(1, 1, None);
+    assert_snapshot!(b.trace());
+}
+
+#[test]
+fn reads_leave_a_primary_to_writes_where_dispatches_time_out() {
+    let mut b = Bench::new(facts());
+    b.list(News::Remembered, &[line(0, Phase::Ready, true, 0)]);
+    for cmd in 0..2 {
+        b.arrive(cmd, 2, None);
+        b.now += 400 * MS;
+        b.end(cmd, 0, Ending::TimedOut, None);
+    }
+    b.arrive(2, 2, None);
+    b.arrive(3, 4, None);
+    assert_snapshot!(b.trace());
+}
