--- a/src/decide.rs
+++ b/src/decide.rs
@@ -237,8 +237,9 @@
     wrote: VecDeque<(usize, usize, Tenths)>,
     armed: bool,
     halved: Tenths,
-    /// Work answered by warm servers of late, in tenths of a millisecond; halved every second.
+    /// Work answered by warm servers, in tenths of a millisecond, and over what time; both fade.
     warm_work: f64,
+    warm_span: f64,
     /// Listed size of the servers that are ready and warm.
     warm_size: f64,
     /// How many dispatches have ended of late, and how many of them by time-out; fades within seconds.
@@ -274,6 +275,7 @@
             armed: false,
             halved: 0,
             warm_work: 0.0,
+            warm_span: 20_000.0,
             warm_size: 0.0,
             ends: [[0.0; 2]; 2],
             best: f64::MIN_POSITIVE,
@@ -416,7 +418,7 @@
             // What was waited for in vain is a measure too, if only of the least. Twelve of a server: enough
             // for a mean, few enough to follow a stall within a second.
             s.slowness.note(e.took * 100 / typical, 12);
-            alike.note(e.took * 100 / typical, 24);
+            alike.note(e.took * 100 / typical, 12);
         }
         let unheard = s.heard <= sent.sent;
         match e.ending {
@@ -645,7 +647,9 @@
         let now = self.now;
         if now - self.halved >= 1000 * MS {
             self.halved = now;
-            self.warm_work /= 2.0;
+            // Over some twenty seconds: what a fleet in trouble answers says little of what servers can take.
+            self.warm_work *= 0.95;
+            self.warm_span = self.warm_span * 0.95 + 10_000.0;
             self.ends = self.ends.map(|ends| ends.map(|n| n * 0.8));
             self.came.iter_mut().for_each(|n| *n *= 0.7);
             self.weigh();
@@ -941,8 +945,7 @@
     /// The work that a cold server may get now, and how much of it can gather.
     fn cold_budget(&self, s: &Server) -> Option<(f64, f64)> {
         let part = self.coldness(s)?;
-        // Halved every second, the sum stands for two seconds less a third on the mean.
-        let rate = self.warm_work / 15_000.0 * s.size / self.warm_size.max(s.size) * part;
+        let rate = self.warm_work / self.warm_span * s.size / self.warm_size.max(s.size) * part;
         let burst = rate * self.facts.guard.fall_time as f64 / 4.0;
         Some(((s.budget + rate * (self.now - s.budget_at) as f64).min(burst), burst))
     }
