--- a/src/decide.rs
+++ b/src/decide.rs
@@ -205,7 +205,9 @@
     repeat: bool,
     dispatches: u32,
     further: bool,
-    missed: Vec<usize>,
+    /// Servers asked in vain.
+    tried: Vec<usize>,
+    missed: bool,
     /// When the first dispatch that may have run was sent.
     doubt: Option<Tenths>,
     doubt_zone: usize,
@@ -376,9 +378,8 @@
             cmd.doubt = Some(sent.sent);
             cmd.doubt_zone = self.servers[sent.server].zone;
         }
-        if e.ending == Ending::Missed {
-            cmd.missed.push(sent.server);
-        }
+        cmd.tried.push(sent.server);
+        cmd.missed |= e.ending == Ending::Missed;
         let still_out = !cmd.out.is_empty();
         self.account(e, &sent, group, out);
         let write = self.groups[group].facts.need == Need::Write;
@@ -744,7 +745,7 @@
                 self.pick(cmd, owed, 0).or_else(|| self.overflow(cmd, owed))
             }
             _ => {
-                let missed = !c.missed.is_empty();
+                let missed = c.missed;
                 let found = self.pick(cmd, owed, if missed { 0 } else { i64::MAX });
                 let found = found.or_else(|| self.overflow(cmd, owed));
                 found.or_else(|| if missed { self.pick(cmd, owed, 1) } else { None })
@@ -794,7 +795,7 @@
             let skipped = s.skipped_till > self.now
                 || (s.suspect && s.in_flight > 0)
                 || (owed.is_some() && s.behind_till > self.now);
-            if set.primary == Some(m) || skipped || c.missed.contains(&m) || !self.room(cmd, m) {
+            if set.primary == Some(m) || skipped || c.tried.contains(&m) || !self.room(cmd, m) {
                 continue;
             }
             let short = match (owed, s.position) {
@@ -863,7 +864,7 @@
         for &m in &set.members {
             let Some(s) = self.live(m) else { continue };
             let skipped = s.skipped_till > now;
-            let passed_by = c.missed.contains(&m) || (skipped && s.in_flight > 0) || s.full_till > now;
+            let passed_by = c.tried.contains(&m) || (skipped && s.in_flight > 0) || s.full_till > now;
             if passed_by || recent(s.word_at.max(s.asked_at)) || !self.warm_enough(cmd, m) {
                 continue;
             }
