--- a/src/decide.rs
+++ b/src/decide.rs
@@ -559,18 +559,18 @@
                 known: true,
                 set: e.set,
                 zone: e.zone,
-                started: e.started,
                 heard: now,
                 halved: now,
-                budget_at: now,
                 ..Server::default()
             };
         }
+        let usual = self.groups.iter().map(|g| g.typical as f64).sum::<f64>() / self.groups.len() as f64;
         let s = &mut self.servers[e.server];
         if e.started > s.started {
             s.started = e.started;
             (s.skipped_till, s.behind_till, s.suspect) = (0, 0, false);
-            (s.budget, s.budget_at) = (0.0, now);
+            // A debt by chance of up to a usual command: not one from every gateway at once.
+            (s.budget, s.budget_at) = (-usual * self.rng.f64(), now);
         }
         s.phase = e.phase;
         s.drained |= e.phase == Phase::Draining;
@@ -865,7 +865,7 @@
             let Some(s) = self.live(m) else { continue };
             let skipped = s.skipped_till > now;
             let passed_by = c.tried.contains(&m) || (skipped && s.in_flight > 0) || s.full_till > now;
-            if passed_by || recent(s.word_at.max(s.asked_at)) || !self.warm_enough(cmd, m) {
+            if passed_by || recent(s.word_at.max(s.asked_at)) || !self.warm_enough(m) {
                 continue;
             }
             let key = (skipped, s.word_at, self.rng.u32(..));
@@ -916,7 +916,7 @@
         let limit = left * (0.6 - 0.3 * scarce * (1.0 - rank));
         s.full_till <= self.now
             && self.expected(c.group, server, s) as f64 <= limit
-            && self.warm_enough(cmd, server)
+            && self.warm_enough(server)
     }
 
     fn coldness(&self, s: &Server) -> Option<f64> {
@@ -931,22 +931,19 @@
         (self.groups[group].typical + 10 * MS) as f64
     }
 
-    /// Guards a cold server, all gateways counted: it gets its part of what a warm one gets from this one.
-    /// Harm: where all servers are cold, little is sent.
-    fn warm_enough(&self, cmd: usize, server: usize) -> bool {
+    /// Guards a cold server, all gateways counted: it gets its part of what a warm one gets from this one,
+    /// a gateway's first command as seldom as all others. Harm: where all are cold, little is sent.
+    fn warm_enough(&self, server: usize) -> bool {
         let s = &self.servers[server];
-        let Some((budget, burst)) = self.cold_budget(s) else { return true };
-        // What only the primary can take may use more of the multiple.
-        let needed = self.groups[self.cmds[cmd].group].only_primary();
-        budget >= if needed { -burst * (self.facts.guard.fall_multiple - 1.0) / 2.0 } else { 0.0 }
+        self.cold_budget(s).is_none_or(|budget| budget >= 0.0)
     }
 
-    /// The work that a cold server may get now, and how much of it can gather.
-    fn cold_budget(&self, s: &Server) -> Option<(f64, f64)> {
+    /// The work that a cold server may get now.
+    fn cold_budget(&self, s: &Server) -> Option<f64> {
         let part = self.coldness(s)?;
         let rate = self.warm_work / self.warm_span * s.size / self.warm_size.max(s.size) * part;
         let burst = rate * self.facts.guard.fall_time as f64 / 4.0;
-        Some(((s.budget + rate * (self.now - s.budget_at) as f64).min(burst), burst))
+        Some((s.budget + rate * (self.now - s.budget_at) as f64).min(burst))
     }
 
     /// Hold plus margin, or where targets are nearer twice what 95 % of answers took, at least half and at
@@ -965,10 +962,12 @@
         let now = self.now;
         let typical = self.groups[self.cmds[cmd].group].typical;
         let work = self.work(self.cmds[cmd].group);
+        let needed = self.groups[self.cmds[cmd].group].only_primary();
         let cold = self.cold_budget(&self.servers[server]);
         let s = &mut self.servers[server];
-        if let Some((budget, _)) = cold {
-            s.budget = budget - work;
+        if let Some(budget) = cold {
+            // What only the primary can take counts for 0.6, as the multiple leaves room for it.
+            s.budget = budget - work * if needed { 0.6 } else { 1.0 };
         }
         s.budget_at = now;
         s.owing = s.owing.max(Some(now + 2 * typical));
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -249,3 +249,13 @@
     b.end(0, 2, Ending::Reset, None);
     assert_snapshot!(b.trace());
 }
+
+#[test]
+fn a_quiet_gateway_sends_a_server_that_has_just_started_nothing_at_first() {
+    let mut b = Bench::new(facts());
+    let start = b.now;
+    b.list(News::Remembered, &[line(0, Phase::Ready, false, start), line(1, Phase::Ready, false, start)]);
+    b.arrive(0, 0, None);
+    b.pass(1000);
+    assert_snapshot!(b.trace());
+}
