A server's few samples fade over seconds, many within one

Cause: a quiet gateway forgot within two seconds what a slow server had cost it, as fast as a busy one that has a dozen new answers by then. Guards against ageing and any slow server at gateways that see little; harm: one that has recovered waits longer.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -657,7 +657,9 @@
             set.halved = now;
             set.slowness.iter_mut().for_each(Histogram::halve);
         }
-        for s in self.servers.iter_mut().filter(|s| now - s.halved >= 500 * MS) {
+        // Little evidence fades more slowly, as little takes its place.
+        let due = |s: &&mut Server| now - s.halved >= if s.slowness.total > 32 { 500 } else { 2500 } * MS;
+        for s in self.servers.iter_mut().filter(due) {
             s.halved = now;
             s.slowness.halve();
             s.depth.halve();
