--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,14 +5,12 @@
 //! of a command stands in [`TABLE`]; `step` reads it.
 //!
 //! Mechanisms beside the design (at most six):
-//! 1. room: a command goes to a server only while an answer in time is likely there (`room`), else it is
-//!    held and served again by benefit, further dispatches last (`serve`);
-//! 2. silence: time-outs shorter than hold plus margin where clients wait less (`patience`); silent,
-//!    failing or full servers return one dispatch at a time (`suspect`);
+//! 1. room: a command goes to a server only while an answer in time is likely there (`room`), to a primary as
+//!    overflow by chance (`overflow`), else it is held and served again by benefit (`serve`);
+//! 2. silence: quick time-outs (`patience`); silent or failing servers return by single ones (`suspect`);
 //! 3. cold budget: a server that has just started gets its part of a warm server's work (`warm_enough`);
 //! 4. customers' shares: in a shortage, what is beyond a share goes last (`over_share`);
-//! 5. believed positions: a replica is taken to have kept its lag (`believed`); reads that owe nothing go
-//!    to the one furthest behind (`pick`);
+//! 5. believed positions: a replica keeps its lag (`believed`); reads that owe nothing gather (`pick`);
 //! 6. passing on: a gateway tells the others which server has said that it is a primary (`told`).
 
 use std::collections::VecDeque;
@@ -239,6 +237,7 @@
     wrote: VecDeque<(usize, usize, Tenths)>,
     armed: bool,
     halved: Tenths,
+    swept: Tenths,
     /// Work answered by warm servers, in tenths of a millisecond, and over what time; both fade.
     warm_work: f64,
     warm_span: f64,
@@ -255,8 +254,8 @@
     pub fn new(facts: Facts) -> Self {
         let groups = facts.groups.iter().map(|g| {
             let (mut took, typical) = (Histogram::default(), (g.target / 4).max(MS));
-            // Eight: a lone slow answer must not bar a group that is then never measured again; one of them
-            // as late as an answer may be, so that nothing is cut short before its usual time is known.
+            // Eight: a lone slow answer must not bar a group for good; one of them as late as an answer may
+            // be, so that nothing is cut short before its usual time is known.
             (0..7).for_each(|_| took.note(typical, 256));
             took.note(g.target, 256);
             Group { facts: g.clone(), took, typical }
@@ -276,6 +275,7 @@
             wrote: VecDeque::new(),
             armed: false,
             halved: 0,
+            swept: 0,
             warm_work: 0.0,
             warm_span: 20_000.0,
             warm_size: 0.0,
@@ -413,9 +413,13 @@
         let alike = &mut set.slowness[role];
         s.in_flight = s.in_flight.saturating_sub(1);
         s.owing = s.owing.filter(|_| s.in_flight > 0);
-        if matches!(e.ending, Ending::Answered | Ending::TimedOut) {
+        let measured = matches!(e.ending, Ending::Answered | Ending::TimedOut);
+        // A primary without a connection or a place to spare is short of them for writes as well.
+        if measured || (role == 0 && matches!(e.ending, Ending::NotConnected | Ending::Full)) {
             self.ends[role][0] += 1.0;
-            self.ends[role][1] += f64::from(u8::from(e.ending == Ending::TimedOut));
+            self.ends[role][1] += f64::from(u8::from(e.ending != Ending::Answered));
+        }
+        if measured {
             // What was waited for in vain is a measure too, if only of the least. Twelve of a server: enough
             // for a mean, few enough to follow a stall within a second.
             s.slowness.note(e.took * 100 / typical, 12);
@@ -508,9 +512,8 @@
         }
     }
 
-    /// A server's word that it is the primary counts as much when another gateway has passed it on, unless an
-    /// answer here is newer. Guards quiet gateways, for whom one round of misses costs half of a command's
-    /// dispatches; what is lost or late leaves the ordinary path. Harm: a false word spreads until refuted.
+    /// A word that another gateway passes on counts as its own, unless an answer here is newer. Guards quiet
+    /// gateways, whom a round of misses costs half their dispatches. Harm: a false word spreads until refuted.
     fn told(&mut self, claim: &Claim, out: &mut Vec<Effect>) {
         let at = claim.at.min(self.now);
         let Some(s) = self.servers.get(claim.server) else { return };
@@ -521,10 +524,8 @@
         set.said_at = Some(at);
         if set.primary != Some(claim.server) {
             set.primary = Some(claim.server);
-            out.push(Effect::Log(format!(
-                "set {}: primary is {}, another gateway says",
-                s.set, claim.server
-            )));
+            let (set, p) = (s.set, claim.server);
+            out.push(Effect::Log(format!("set {set}: primary is {p}, another gateway says")));
             self.recall();
         }
     }
@@ -536,13 +537,9 @@
             return;
         }
         if news != News::Changes {
-            for s in self.servers.iter_mut() {
-                s.phase = Phase::Gone;
-            }
-        }
-        for e in entries {
-            self.listed(e, out);
+            self.servers.iter_mut().for_each(|s| s.phase = Phase::Gone);
         }
+        entries.iter().for_each(|e| self.listed(e, out));
         self.weigh();
         self.recall();
     }
@@ -582,12 +579,8 @@
         // The list is late: it names a primary only where no answer has spoken, or where it changes its own
         // word and answers have been still for ten seconds, longer than a list is late.
         let still = set.said_at.is_none_or(|at| now - at > 10_000 * MS);
-        if e.primary
-            && e.phase == Phase::Ready
-            && set.primary != Some(e.server)
-            && (newly || !refuted)
-            && still
-        {
+        let names = e.primary && e.phase == Phase::Ready && still && (newly || !refuted);
+        if names && set.primary != Some(e.server) {
             set.primary = Some(e.server);
             out.push(Effect::Log(format!("set {}: list names primary {}", s.set, e.server)));
         }
@@ -653,6 +646,11 @@
             self.came.iter_mut().for_each(|n| *n *= 0.7);
             self.weigh();
         }
+        // A quarter of the least interval below: no work over all servers on every input.
+        if now - self.swept < 125 * MS {
+            return;
+        }
+        self.swept = now;
         for set in self.sets.iter_mut().filter(|s| now - s.halved >= 2500 * MS) {
             set.halved = now;
             set.slowness.iter_mut().for_each(Histogram::halve);
@@ -829,15 +827,17 @@
         best.map(|(_, m)| m)
     }
 
-    /// Where a replica stands by now, had it gone on as when last heard; what it lagged then counts for half
-    /// every two seconds, so that one which may have caught up is tried again.
+    /// Where a replica stands by now, had it kept its lag; that counts for half every two seconds, so that one
+    /// which may have caught up is tried again.
     fn believed(&self, s: &Server) -> Tenths {
         let (Some(p), Some(at)) = (s.position, s.word_at) else { return self.now };
         let lag = (at - p).max(0);
         (self.now - (lag >> ((self.now - at) / MARGIN).min(40))).max(p)
     }
 
-    /// A read that no replica takes goes to the primary, where there is room for it.
+    /// A read that no replica takes goes to the primary, where there is room for it, with a chance that falls
+    /// steeply as dispatches there end badly (powers 4 and 8 differ little). Guards writes against the reads of
+    /// hundreds of gateways. Harm: a primary slow for another reason gets fewer reads for some seconds.
     fn overflow(&mut self, cmd: usize, owed: Option<Tenths>) -> Option<usize> {
         let p = self.sets[self.cmds[cmd].set].primary?;
         let s = self.live(p)?;
@@ -900,8 +900,8 @@
     }
 
     /// Guards against queues that make every answer late, whatever fills them: overflow of reads to the
-    /// primary, a surge, a slow server, a flood after a change of primary. Groups with less benefit per work
-    /// stay out first. Harm: a wrong measure keeps a sound server idle until it has faded (a second).
+    /// primary, a surge, a slow server, a change of primary; least benefit per work stays out first. Harm: a
+    /// wrong measure keeps a sound server idle until it has faded (seconds).
     fn room(&self, cmd: usize, server: usize) -> bool {
         let s = &self.servers[server];
         let c = &self.cmds[cmd];
@@ -910,8 +910,7 @@
         // Past its target a command gets as much of the target's room as it is still worth.
         let left = if left > 0 { left as f64 } else { g.facts.target as f64 * g.facts.late };
         // Up to 0.6 of the time left: at 1.0 queues stand where every answer is just late. Once dispatches
-        // time out (from 4 % to 10 %, about what heavy tails of work alone give) down to 0.3 for the least
-        // benefit per work; with 0.3 always, quiet days throttle long commands whose bare work fills it.
+        // time out (4 % to 10 %, as heavy tails alone give) down to 0.3 for the least benefit per work.
         let rank = if g.only_primary() { 1.0 } else { self.rank(cmd) };
         let [all, late] = [0, 1].map(|i| self.ends[0][i] + self.ends[1][i]);
         let scarce = ((late + 4.0) / (all + 40.0) * 16.0 - 0.6).clamp(0.0, 1.0);
@@ -981,7 +980,7 @@
         out.push(Effect::Dispatch { cmd, server, timeout });
     }
 
-    /// What is given up gets its answer at once: throttled where a repeat is surely harmless, else failed.
+    /// At once: throttled where a repeat is surely harmless, else failed.
     fn give_up(&mut self, cmd: usize, out: &mut Vec<Effect>) {
         let c = &self.cmds[cmd];
         let harmless = match self.groups[c.group].facts.effect {
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -259,3 +259,15 @@
     b.pass(1000);
     assert_snapshot!(b.trace());
 }
+
+#[test]
+fn reads_leave_a_primary_short_of_connections_to_writes() {
+    let mut b = Bench::new(facts());
+    b.list(News::Remembered, &[line(0, Phase::Ready, true, 0)]);
+    b.arrive(0, 4, None);
+    b.end(0, 0, Ending::NotConnected, None);
+    b.end(0, 1, Ending::NotConnected, None);
+    b.arrive(1, 2, None);
+    b.arrive(2, 4, None);
+    assert_snapshot!(b.trace());
+}
