Tidied after a whole reading: one place names a primary, one tells a server's role, a dead factor in ties gone

The factor for another zone in our pick's ties was dead since the own zone comes strictly first, and its comment said otherwise; without it ties of equal rounding fall otherwise now and then. An answered command no longer allocates a list of servers asked in vain; the usual work is summed only where a server has started.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -183,11 +183,17 @@
     said_at: Option<Tenths>,
     /// Sessions forgotten here must still see this.
     floor: Tenths,
-    /// Slowness of its primary and of its replicas.
+    /// Slowness of its primary and of its replicas, by `role`.
     slowness: [Histogram; 2],
     halved: Tenths,
 }
 
+impl Set {
+    fn role(&self, server: usize) -> usize {
+        usize::from(self.primary != Some(server))
+    }
+}
+
 #[derive(Default)]
 struct Command {
     state: State,
@@ -243,7 +249,7 @@
     warm_span: f64,
     /// Listed size of the servers that are ready and warm.
     warm_size: f64,
-    /// How many dispatches have ended of late, and how many of them by time-out; fades within seconds.
+    /// How many dispatches have ended of late at primaries and at replicas, and how many of them badly.
     ends: [[f64; 2]; 2],
     /// Density of the best group.
     best: f64,
@@ -378,7 +384,9 @@
             cmd.doubt = Some(sent.sent);
             cmd.doubt_zone = self.servers[sent.server].zone;
         }
-        cmd.tried.push(sent.server);
+        if e.ending != Ending::Answered {
+            cmd.tried.push(sent.server);
+        }
         cmd.missed |= e.ending == Ending::Missed;
         let still_out = !cmd.out.is_empty();
         self.account(e, &sent, group, out);
@@ -409,7 +417,7 @@
         let work = if warm { self.work(group) } else { 0.0 };
         let s = &mut self.servers[sent.server];
         let set = &mut self.sets[s.set];
-        let role = usize::from(set.primary != Some(sent.server));
+        let role = set.role(sent.server);
         let alike = &mut set.slowness[role];
         s.in_flight = s.in_flight.saturating_sub(1);
         s.owing = s.owing.filter(|_| s.in_flight > 0);
@@ -497,14 +505,8 @@
         s.position = s.position.max(word.position);
         let set = &mut self.sets[s.set];
         if word.primary {
-            set.said_at = Some(now);
-            if set.primary != Some(server) {
-                set.primary = Some(server);
-                out.push(Effect::Log(format!("set {}: primary is {server}", s.set)));
-                if self.facts.allowed.peers {
-                    out.push(Effect::Tell(Claim { server, at: now }));
-                }
-                self.recall();
+            if self.named(server, now, "", out) && self.facts.allowed.peers {
+                out.push(Effect::Tell(Claim { server, at: now }));
             }
         } else if set.primary == Some(server) {
             set.primary = None;
@@ -513,21 +515,27 @@
     }
 
     /// A word that another gateway passes on counts as its own, unless an answer here is newer. Guards quiet
-    /// gateways, whom a round of misses costs half their dispatches. Harm: a false word spreads until refuted.
+    /// gateways, whom a round of misses costs half their dispatches. Harm: a false word spreads.
     fn told(&mut self, claim: &Claim, out: &mut Vec<Effect>) {
         let at = claim.at.min(self.now);
         let Some(s) = self.servers.get(claim.server) else { return };
-        let set = &mut self.sets[s.set];
-        if set.said_at.is_some_and(|said| said >= at) || s.word_at.is_some_and(|word| word >= at) {
-            return;
+        if self.sets[s.set].said_at < Some(at) && s.word_at < Some(at) {
+            self.named(claim.server, at, ", another gateway says", out);
         }
+    }
+
+    /// A server has said at that time that it is the primary; whether that is news.
+    fn named(&mut self, server: usize, at: Tenths, by: &str, out: &mut Vec<Effect>) -> bool {
+        let index = self.servers[server].set;
+        let set = &mut self.sets[index];
         set.said_at = Some(at);
-        if set.primary != Some(claim.server) {
-            set.primary = Some(claim.server);
-            let (set, p) = (s.set, claim.server);
-            out.push(Effect::Log(format!("set {set}: primary is {p}, another gateway says")));
+        let news = set.primary != Some(server);
+        if news {
+            set.primary = Some(server);
+            out.push(Effect::Log(format!("set {index}: primary is {server}{by}")));
             self.recall();
         }
+        news
     }
 
     fn list(&mut self, news: News, entries: &[Listed], out: &mut Vec<Effect>) {
@@ -561,12 +569,12 @@
                 ..Server::default()
             };
         }
-        let usual = self.groups.iter().map(|g| g.typical as f64).sum::<f64>() / self.groups.len() as f64;
         let s = &mut self.servers[e.server];
         if e.started > s.started {
             s.started = e.started;
             (s.skipped_till, s.behind_till, s.suspect) = (0, 0, false);
             // A debt by chance of up to a usual command: not one from every gateway at once.
+            let usual = self.groups.iter().map(|g| g.typical as f64).sum::<f64>() / self.groups.len() as f64;
             (s.budget, s.budget_at) = (-usual * self.rng.f64(), now);
         }
         s.phase = e.phase;
@@ -667,9 +675,8 @@
     }
 
     fn weigh(&mut self) {
-        let warm = |&m: &usize| self.live(m).is_some_and(|s| self.coldness(s).is_none());
-        self.warm_size =
-            (0..self.servers.len()).filter(warm).filter_map(|m| self.live(m)).map(|s| s.size).sum();
+        let live = (0..self.servers.len()).filter_map(|m| self.live(m));
+        self.warm_size = live.filter(|s| self.coldness(s).is_none()).map(|s| s.size).sum();
         self.best = self.groups.iter().map(Group::density).fold(f64::MIN_POSITIVE, f64::max);
     }
 
@@ -814,10 +821,8 @@
             if short > reach {
                 continue;
             }
-            // By chance, in proportion to size and speed: where most are at nothing in flight, counting tells
-            // nothing. Half as much for another zone: all of it in this one would leave others idle.
-            let far = if s.zone == self.facts.zone { 1.0 } else { 2.0 };
-            let slow = s.slowness.mean(100, 2) as f64 * far / s.size.max(0.01);
+            // By chance, in proportion to size and speed, as a quiet gateway's counts are mostly nothing.
+            let slow = s.slowness.mean(100, 2) as f64 / s.size.max(0.01);
             let key =
                 (short, s.in_flight, s.zone != self.facts.zone, (-slow * (1.0 - self.rng.f64()).ln()) as i64);
             if best.is_none_or(|(k, _)| key < k) {
@@ -827,8 +832,8 @@
         best.map(|(_, m)| m)
     }
 
-    /// Where a replica stands by now, had it kept its lag; that counts for half every two seconds, so that one
-    /// which may have caught up is tried again.
+    /// Where a replica stands by now, had it kept its lag; that counts for half every two seconds, so that
+    /// one which may have caught up is tried again.
     fn believed(&self, s: &Server) -> Tenths {
         let (Some(p), Some(at)) = (s.position, s.word_at) else { return self.now };
         let lag = (at - p).max(0);
@@ -836,8 +841,8 @@
     }
 
     /// A read that no replica takes goes to the primary, where there is room for it, with a chance that falls
-    /// steeply as dispatches there end badly (powers 4 and 8 differ little). Guards writes against the reads of
-    /// hundreds of gateways. Harm: a primary slow for another reason gets fewer reads for some seconds.
+    /// steeply as dispatches there end badly (powers 4 and 8 differ little). Guards writes against the reads
+    /// of hundreds of gateways. Harm: a primary slow for another reason gets fewer reads for some seconds.
     fn overflow(&mut self, cmd: usize, owed: Option<Tenths>) -> Option<usize> {
         let p = self.sets[self.cmds[cmd].set].primary?;
         let s = self.live(p)?;
@@ -881,13 +886,12 @@
     }
 
     /// How long an answer from this server is likely to take.
-    fn expected(&self, group: usize, server: usize, s: &Server) -> Tenths {
+    fn expected(&self, group: usize, server: usize) -> Tenths {
+        let s = &self.servers[server];
         let typical = self.groups[group].typical;
         // Few samples say little: as if two more had been as of late in the set, and those as if two usual.
         let set = &self.sets[s.set];
-        let alike = &set.slowness[usize::from(set.primary != Some(server))];
-        let slow = alike.mean(100, 2);
-        let slow = s.slowness.mean(slow, 2);
+        let slow = s.slowness.mean(set.slowness[set.role(server)].mean(100, 2), 2);
         // Deeper than usual by more than one: as much slower where the server is slow (1.6 times the usual),
         // half of that where it is not, as it then has cores to spare.
         let depth = i64::from(s.in_flight + 1) * 100;
@@ -915,9 +919,7 @@
         let [all, late] = [0, 1].map(|i| self.ends[0][i] + self.ends[1][i]);
         let scarce = ((late + 4.0) / (all + 40.0) * 16.0 - 0.6).clamp(0.0, 1.0);
         let limit = left * (0.6 - 0.3 * scarce * (1.0 - rank));
-        s.full_till <= self.now
-            && self.expected(c.group, server, s) as f64 <= limit
-            && self.warm_enough(server)
+        s.full_till <= self.now && self.expected(c.group, server) as f64 <= limit && self.warm_enough(server)
     }
 
     fn coldness(&self, s: &Server) -> Option<f64> {
