--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -1,78 +1,36 @@
 //! One instance of the decision module and the small indices it is spoken to in.
 
-use std::collections::HashMap;
-
 use leverpoint::decide::Decider;
+use leverpoint::indices::{HeldCommand, Indices, Sessions};
 use leverpoint::interface::{
     Arrival, Claim, DispatchEnd, Effect, Ending, Input, Listed, Need, News, Phase, Tenths, Word,
 };
 
-use crate::settings::{self, Opened, down, up};
-use crate::wire::{Event, Fault, Line, Lists, Reply, Request, Response};
-
-/// Ids seen on the wire, each with a small index that is handed out again once let go.
-#[derive(Default)]
-struct Indices<K> {
-    of: HashMap<K, usize>,
-    ids: Vec<K>,
-    free: Vec<usize>,
-}
-
-impl<K: Copy + Eq + std::hash::Hash> Indices<K> {
-    fn index(&mut self, id: K) -> usize {
-        if let Some(&index) = self.of.get(&id) {
-            return index;
-        }
-        let index = match self.free.pop() {
-            Some(index) => {
-                self.ids[index] = id;
-                index
-            }
-            None => {
-                self.ids.push(id);
-                self.ids.len() - 1
-            }
-        };
-        self.of.insert(id, index);
-        index
-    }
+use leverpoint_facts::settings::{self, Opened, down, up};
 
-    fn let_go(&mut self, index: usize) {
-        if self.of.remove(&self.ids[index]).is_some() {
-            self.free.push(index);
-        }
-    }
-}
-
-/// What is kept of a command for as long as the wire may name it.
-#[derive(Clone, Copy, Default)]
-struct Held {
-    over: bool,
-    out: u32,
-    write: bool,
-}
+use crate::wire::{Event, Fault, Line, Lists, Reply, Request, Response};
 
 pub struct Instance {
     decider: Decider,
     opened: Opened,
     servers: Indices<u32>,
     sets: Indices<u16>,
-    sessions: Indices<u64>,
+    sessions: Sessions<u64>,
     commands: Indices<u32>,
-    held: Vec<Held>,
+    held: Vec<HeldCommand>,
     effects: Vec<Effect>,
     listed: Vec<Listed>,
 }
 
 impl Instance {
     pub fn open(seed: u64, options: &[u8]) -> Result<Self, Fault> {
-        let opened = settings::read(seed, options)?;
+        let opened = settings::read(seed, options).map_err(|e| Fault::new(format!("settings: {e}")))?;
         Ok(Instance {
             decider: Decider::new(opened.facts.clone()),
             opened,
             servers: Indices::default(),
             sets: Indices::default(),
-            sessions: Indices::default(),
+            sessions: Sessions::default(),
             commands: Indices::default(),
             held: Vec::new(),
             effects: Vec::new(),
@@ -116,8 +74,14 @@
                 self.decider.take(now, &Input::Arrived(arrival), &mut self.effects);
             }
             Event::Response(response) => {
-                let Some(&cmd) = self.commands.of.get(&response.id) else { return Ok(()) };
+                let Some(cmd) = self.commands.find(&response.id) else { return Ok(()) };
                 let end = self.ended(cmd, &response)?;
+                let positioned = end.word.is_some_and(|w| w.position.is_some());
+                if let (HeldCommand { write: true, session: Some(session), .. }, Ending::Answered, true) =
+                    (self.held[cmd], end.ending, positioned)
+                {
+                    self.sessions.remembered(session);
+                }
                 self.decider.take(now, &Input::Ended(end), &mut self.effects);
                 let held = &mut self.held[cmd];
                 held.out = held.out.saturating_sub(1);
@@ -125,7 +89,7 @@
                 touched = Some(cmd);
             }
             Event::Hangup(id) => {
-                let Some(&cmd) = self.commands.of.get(&id) else { return Ok(()) };
+                let Some(cmd) = self.commands.find(&id) else { return Ok(()) };
                 if !self.held[cmd].over {
                     self.held[cmd].over = true;
                     self.decider.take(now, &Input::HungUp(cmd), &mut self.effects);
@@ -134,7 +98,7 @@
             }
             Event::Due(key) => self.decider.take(now, &Input::Due(key), &mut self.effects),
             Event::Echo { server, status, load } => {
-                let Some(&server) = self.servers.of.get(&server) else { return Ok(()) };
+                let Some(server) = self.servers.find(&server) else { return Ok(()) };
                 let word = self.reported(&load);
                 let input = Input::Probed { server, ok: status == 200, word };
                 self.decider.take(now, &input, &mut self.effects);
@@ -147,7 +111,7 @@
         }
         self.perform(reply);
         if let Some(cmd) = touched {
-            recycle(&mut self.commands, &self.held, cmd);
+            self.recycle(cmd);
         }
         Ok(())
     }
@@ -157,8 +121,8 @@
             return Err(Fault::new("a list entry holds a figure that is not a number"));
         }
         Ok(Listed {
-            server: self.servers.index(line.server),
-            set: self.sets.index(line.shard),
+            server: self.servers.index(&line.server),
+            set: self.sets.index(&line.shard),
             zone: usize::from(line.zone),
             phase: match line.phase {
                 1 => Phase::Ready,
@@ -183,22 +147,26 @@
         if !(0.0..=65535.0).contains(&request.shard) {
             return Err(Fault::new(format!("request {} of impossible shard {}", request.id, request.shard)));
         }
-        if self.commands.of.contains_key(&request.id) {
+        if self.commands.find(&request.id).is_some() {
             return Err(Fault::new(format!("request {} came twice", request.id)));
         }
         let carried = request.token_age_ms > 0.0;
-        let session = (request.key != 0).then(|| self.sessions.index(request.key));
-        let cmd = self.commands.index(request.id);
+        let write = facts.groups[group].need == Need::Write;
+        let session = match request.key {
+            0 => None,
+            key if write => Some(self.sessions.writes(key)),
+            key => Some(self.sessions.reads(key)),
+        };
+        let cmd = self.commands.index(&request.id);
         if self.held.len() <= cmd {
-            self.held.resize(cmd + 1, Held::default());
+            self.held.resize(cmd + 1, HeldCommand::default());
         }
-        let write = facts.groups[group].need == Need::Write;
-        self.held[cmd] = Held { write, ..Held::default() };
+        self.held[cmd] = HeldCommand { write, session, ..HeldCommand::default() };
         Ok(Arrival {
             cmd,
             group,
             customer: request.tenant as usize,
-            set: self.sets.index(request.shard as u16),
+            set: self.sets.index(&(request.shard as u16)),
             session,
             ends: down(request.due_ms),
             token: carried.then(|| now + 1 - down(f64::from(request.token_age_ms))),
@@ -233,7 +201,7 @@
         Ok(DispatchEnd {
             cmd,
             nth: u32::from(response.go),
-            server: self.servers.index(response.server),
+            server: self.servers.index(&response.server),
             ending,
             took: up(response.latency_ms),
             over: response.last,
@@ -245,7 +213,7 @@
     /// zero. One of a server that no own list has named is left out.
     fn claim(&self, bytes: &[u8]) -> Option<Claim> {
         let word = |at: usize| Some(u32::from_le_bytes(bytes.get(at..at + 4)?.try_into().ok()?));
-        let server = *self.servers.of.get(&word(0)?)?;
+        let server = self.servers.find(&word(0)?)?;
         Some(Claim { server, at: down(self.opened.zero_ms + f64::from(word(4)?)) })
     }
 
@@ -259,43 +227,50 @@
 
     /// Writes the effects out in the order they were decided.
     fn perform(&mut self, reply: &mut Reply) {
-        for effect in self.effects.drain(..) {
+        let mut effects = std::mem::take(&mut self.effects);
+        for effect in effects.drain(..) {
             match effect {
                 Effect::Dispatch { cmd, server, timeout } => {
                     let held = &mut self.held[cmd];
                     held.out += 1;
-                    reply.submit(self.commands.ids[cmd], timeout as f64 / 10.0, self.servers.ids[server]);
+                    reply.submit(*self.commands.id(cmd), timeout as f64 / 10.0, *self.servers.id(server));
                 }
-                Effect::Cancel { cmd, nth } => reply.cancel(self.commands.ids[cmd], nth as u8),
+                Effect::Cancel { cmd, nth } => reply.cancel(*self.commands.id(cmd), nth as u8),
                 Effect::Throttle { cmd, come_back } => {
                     self.held[cmd].over = true;
-                    reply.refuse(self.commands.ids[cmd], come_back as f64 / 10.0);
-                    recycle(&mut self.commands, &self.held, cmd);
+                    reply.refuse(*self.commands.id(cmd), come_back as f64 / 10.0);
+                    self.recycle(cmd);
                 }
                 Effect::Fail { cmd } => {
                     self.held[cmd].over = true;
-                    reply.abort(self.commands.ids[cmd]);
-                    recycle(&mut self.commands, &self.held, cmd);
+                    reply.abort(*self.commands.id(cmd));
+                    self.recycle(cmd);
                 }
                 Effect::Timer { at, key } => reply.arm(at as f64 / 10.0, key),
-                Effect::Probe { server } => reply.touch(self.servers.ids[server]),
+                Effect::Probe { server } => reply.touch(*self.servers.id(server)),
                 Effect::Tell(claim) => {
                     let since_zero = claim.at as f64 / 10.0 - self.opened.zero_ms;
-                    let words = [self.servers.ids[claim.server], since_zero as u32];
+                    let words = [*self.servers.id(claim.server), since_zero as u32];
                     reply.publish(u16::MAX, &words.map(u32::to_le_bytes).concat());
                 }
                 Effect::AskList => reply.list_all(),
                 Effect::FollowList(on) => reply.tail(on),
-                Effect::ForgetSession(session) => self.sessions.let_go(session),
+                Effect::ForgetSession(session) => self.sessions.forgotten(session),
                 Effect::Log(text) => reply.log(&text),
             }
         }
+        self.effects = effects;
     }
-}
 
-/// A command's index is free once it is over and none of its dispatches is out.
-fn recycle(commands: &mut Indices<u32>, held: &[Held], cmd: usize) {
-    if held[cmd].over && held[cmd].out == 0 {
-        commands.let_go(cmd);
+    /// A command's index is free once it is over and none of its dispatches is out.
+    fn recycle(&mut self, cmd: usize) {
+        let held = &mut self.held[cmd];
+        if !held.done() || self.commands.find(self.commands.id(cmd)) != Some(cmd) {
+            return;
+        }
+        self.commands.let_go(cmd);
+        if let (true, Some(session)) = (held.write, held.session) {
+            self.sessions.write_over(session);
+        }
     }
 }
--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -3,7 +3,6 @@
 //! Batches come in on standard input, one reply a batch goes out on standard output.
 
 mod instance;
-mod settings;
 mod wire;
 
 use std::collections::BTreeMap;
--- /dev/null
+++ b/facts/src/key.rs
@@ -0,0 +1,105 @@
+//! A key of a JSON document with its path, so that a message can name it.
+
+use std::fmt;
+
+use serde_json::Value;
+
+/// What is wrong with the configuration, in one line.
+#[derive(Debug)]
+pub struct Fault(String);
+
+impl Fault {
+    pub fn new(text: impl Into<String>) -> Self {
+        Fault(text.into())
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// A place in a document, there or not.
+pub struct Key<'a> {
+    path: String,
+    value: Option<&'a Value>,
+}
+
+impl<'a> Key<'a> {
+    pub fn root(value: &'a Value) -> Self {
+        Key { path: String::new(), value: Some(value) }
+    }
+
+    pub fn get(&self, name: &str) -> Key<'a> {
+        let dot = if self.path.is_empty() { "" } else { "." };
+        let value = self.value.and_then(|v| v.get(name)).filter(|v| !v.is_null());
+        Key { path: format!("{}{dot}{name}", self.path), value }
+    }
+
+    pub fn value(&self) -> Option<&'a Value> {
+        self.value
+    }
+
+    pub fn wrong(&self, expected: &str) -> Fault {
+        match self.value {
+            None => Fault(format!("{}: expected {expected}, but it is missing", self.path)),
+            Some(Value::Object(_)) => Fault(format!("{}: expected {expected}, found an object", self.path)),
+            Some(Value::Array(_)) => Fault(format!("{}: expected {expected}, found a list", self.path)),
+            Some(value) => Fault(format!("{}: expected {expected}, found {value:.60}", self.path)),
+        }
+    }
+
+    fn need<T>(&self, expected: &str, read: impl Fn(&'a Value) -> Option<T>) -> Result<T, Fault> {
+        self.value.and_then(read).ok_or_else(|| self.wrong(expected))
+    }
+
+    /// The value where the key is there, else the default.
+    pub fn or<T>(&self, default: T, read: impl Fn(&Self) -> Result<T, Fault>) -> Result<T, Fault> {
+        if self.value.is_some() { read(self) } else { Ok(default) }
+    }
+
+    pub fn text(&self) -> Result<&'a str, Fault> {
+        self.need("a text", Value::as_str)
+    }
+
+    pub fn flag(&self) -> Result<bool, Fault> {
+        self.need("true or false", Value::as_bool)
+    }
+
+    pub fn number(&self) -> Result<f64, Fault> {
+        self.need("a number", Value::as_f64)
+    }
+
+    pub fn figure(&self) -> Result<f64, Fault> {
+        self.need("a number of 0 or more", |v| v.as_f64().filter(|n| n.is_finite() && *n >= 0.0))
+    }
+
+    /// A span of time in milliseconds.
+    pub fn span(&self) -> Result<f64, Fault> {
+        let possible = |n: &f64| (0.0..=1e12).contains(n);
+        self.need("milliseconds from 0 to 1e12", |v| v.as_f64().filter(possible))
+    }
+
+    pub fn whole(&self, least: usize, most: usize) -> Result<usize, Fault> {
+        let read = |v: &Value| v.as_u64().map(|n| n as usize).filter(|n| (least..=most).contains(n));
+        self.need(&format!("a whole number from {least} to {most}"), read)
+    }
+
+    pub fn choice<T: Copy>(&self, choices: &[(&str, T)]) -> Result<T, Fault> {
+        let names: Vec<_> = choices.iter().map(|c| c.0).collect();
+        self.need(&format!("one of {}", names.join(", ")), |v| {
+            choices.iter().find(|c| v.as_str() == Some(c.0)).map(|c| c.1)
+        })
+    }
+
+    /// The keys of a list; an absent one is empty.
+    pub fn items(&self) -> Result<Vec<Key<'a>>, Fault> {
+        let list = match self.value {
+            None => return Ok(Vec::new()),
+            Some(value) => value.as_array().ok_or_else(|| self.wrong("a list"))?,
+        };
+        let item = |(i, v)| Key { path: format!("{}[{i}]", self.path), value: Some(v) };
+        Ok(list.iter().enumerate().map(item).collect())
+    }
+}
--- /dev/null
+++ b/gateway/src/clients.rs
@@ -0,0 +1,219 @@
+//! Owns the connections of clients: admits them, reads their statements and writes each its answer.
+//!
+//! Commands of a connection are taken in turn, so its answers come in their order. It must never answer a
+//! command twice, leave one without an answer while the client is there, or close a connection that has
+//! something read or readable on it. Servers are not known here.
+
+use std::io::{self, ErrorKind};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::counters::add;
+use crate::exchange::{Exchange, Final};
+use crate::message::{self, LONGEST, Read};
+use crate::ring::Link;
+use crate::serve::{Claim, Ending};
+use crate::statement::{self, Kind};
+
+/// What is written at once; a longer answer goes out in turns.
+const OUTPUT: usize = 16 << 10;
+
+struct Client {
+    link: Link,
+    exchange: Rc<Exchange>,
+    /// The longest that a client may take to say a message that it has begun, or to take an answer.
+    patience: Duration,
+    _claim: Claim,
+}
+
+impl Drop for Client {
+    fn drop(&mut self) {
+        add(&self.exchange.counters.clients.closed);
+    }
+}
+
+/// Serves one connection to its end.
+pub async fn serve(stream: TcpStream, exchange: Rc<Exchange>, ending: Rc<Ending>, claim: Claim) {
+    add(&exchange.counters.clients.opened);
+    let patience = exchange.longest_timeout();
+    let link = Link::new(stream, LONGEST, OUTPUT);
+    let mut client = Client { link, exchange, patience, _claim: claim };
+    // However it ends, it ends here; what was out for it is told to the exchange by its ticket.
+    let _ = client.serve(&ending).await;
+}
+
+impl Client {
+    async fn serve(&mut self, ending: &Ending) -> io::Result<()> {
+        if !self.admit().await? {
+            return Ok(());
+        }
+        let mut skipping = false;
+        loop {
+            let (tag, body) = match message::next(&mut self.link.input) {
+                Read::Message(tag, body) => (tag, body),
+                Read::Long(tag, whole) => {
+                    self.pass_over(whole).await?;
+                    self.refuse("54000", "the message is longer than is taken", tag == b'Q').await?;
+                    skipping |= tag != b'Q';
+                    continue;
+                }
+                Read::Broken => return self.part("08P01", "a message of impossible length").await,
+                Read::Short => {
+                    let begun = !self.link.input.is_empty();
+                    tokio::select! {
+                        biased;
+                        read = self.link.read() => { read?; }
+                        _ = ending.closing(), if !begun => return self.leave().await,
+                        _ = tokio::time::sleep(self.patience), if begun => {
+                            return self.part("08P01", "a message was begun and not gone on with").await;
+                        }
+                    }
+                    continue;
+                }
+            };
+            match tag {
+                b'X' => return Ok(()),
+                b'S' => {
+                    skipping = false;
+                    self.ready().await?;
+                }
+                _ if skipping => {}
+                b'Q' => self.query(body).await?,
+                b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' => {
+                    skipping = tag != b'F';
+                    self.refuse("0A000", "only simple queries are taken", tag == b'F').await?;
+                }
+                b'd' | b'c' | b'f' => {}
+                _ => return self.part("08P01", "a message of unknown type").await,
+            }
+        }
+    }
+
+    /// Answers the startup packets; false where the connection ends with them.
+    async fn admit(&mut self) -> io::Result<bool> {
+        loop {
+            let (code, _) = match message::startup(&mut self.link.input) {
+                Ok(Some(packet)) => packet,
+                Ok(None) => {
+                    let read = timeout(self.patience, self.link.read()).await;
+                    read.map_err(|_| io::Error::from(ErrorKind::TimedOut))??;
+                    continue;
+                }
+                Err(()) => {
+                    self.part("08P01", "a startup packet of impossible length").await?;
+                    return Ok(false);
+                }
+            };
+            match code {
+                message::SSL | message::GSSENC => self.write(b"N").await?,
+                message::CANCEL => return Ok(false),
+                code if code >> 16 == 3 => {
+                    self.write(&message::admitted(code & 0xffff)).await?;
+                    return Ok(true);
+                }
+                _ => {
+                    self.part("0A000", "only version 3 of the protocol is spoken").await?;
+                    return Ok(false);
+                }
+            }
+        }
+    }
+
+    async fn query(&mut self, mut body: Vec<u8>) -> io::Result<()> {
+        if body.pop() != Some(0) || body.contains(&0) {
+            return self.refuse("08P01", "a query must end with its only zero byte", true).await;
+        }
+        let Ok(text) = std::str::from_utf8(&body) else {
+            return self.refuse("22021", "a query must be UTF-8", true).await;
+        };
+        let mut out = Vec::new();
+        let said = match statement::read(text) {
+            Ok(Kind::Empty) => {
+                message::put(&mut out, b'I', &[]);
+                message::ready(&mut out);
+                return self.write(&out).await;
+            }
+            Ok(Kind::Session(word)) => {
+                message::put(&mut out, b'C', &[word.as_bytes(), b"\0"]);
+                message::ready(&mut out);
+                return self.write(&out).await;
+            }
+            Ok(Kind::Command(said)) => said,
+            Err((code, why)) => return self.refuse(code, &why, true).await,
+        };
+        let ticket = match self.exchange.arrived(&said, text) {
+            Ok(ticket) => ticket,
+            Err((code, why)) => return self.refuse(code, &why, true).await,
+        };
+        drop(body);
+        tokio::pin!(ticket);
+        let answer = loop {
+            tokio::select! {
+                biased;
+                answer = &mut ticket => break answer,
+                // What comes meanwhile waits in the ring; an end of the connection ends the command.
+                read = self.link.read() => { read?; }
+            }
+        };
+        match answer {
+            Final::Answered(row) => out = row,
+            Final::Throttled(0) => message::error(&mut out, false, "53300", "throttled", None),
+            Final::Throttled(ms) => {
+                message::error(&mut out, false, "53300", "throttled", Some(&ms.to_string()));
+            }
+            Final::Failed => message::error(&mut out, false, "58000", "no server has answered", None),
+        }
+        message::ready(&mut out);
+        self.write(&out).await
+    }
+
+    async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let wrote = timeout(self.patience, self.link.write(&[bytes], &mut 0)).await;
+        wrote.map_err(|_| io::Error::from(ErrorKind::TimedOut))?
+    }
+
+    async fn ready(&mut self) -> io::Result<()> {
+        let mut out = Vec::new();
+        message::ready(&mut out);
+        self.write(&out).await
+    }
+
+    /// An error after which the connection goes on.
+    async fn refuse(&mut self, code: &str, why: &str, ready: bool) -> io::Result<()> {
+        add(&self.exchange.counters.bad_messages);
+        let mut out = Vec::new();
+        message::error(&mut out, false, code, why, None);
+        if ready {
+            message::ready(&mut out);
+        }
+        self.write(&out).await
+    }
+
+    /// An error with which the connection ends.
+    async fn part(&mut self, code: &str, why: &str) -> io::Result<()> {
+        add(&self.exchange.counters.bad_messages);
+        let mut out = Vec::new();
+        message::error(&mut out, true, code, why, None);
+        self.write(&out).await?;
+        self.leave().await
+    }
+
+    async fn pass_over(&mut self, mut bytes: usize) -> io::Result<()> {
+        loop {
+            bytes -= self.link.input.skip(bytes);
+            if bytes == 0 {
+                return Ok(());
+            }
+            let read = timeout(self.patience, self.link.read()).await;
+            read.map_err(|_| io::Error::from(ErrorKind::TimedOut))??;
+        }
+    }
+
+    /// Ends the connection so that nothing the client has said is answered by a reset.
+    async fn leave(&mut self) -> io::Result<()> {
+        timeout(self.patience, self.link.finish()).await.map_err(|_| io::Error::from(ErrorKind::TimedOut))?
+    }
+}
--- /dev/null
+++ b/gateway/src/counters.rs
@@ -0,0 +1,125 @@
+//! Owns the counts of what is taken in, sent and answered. They are only ever added to and printed.
+
+use std::cell::Cell;
+use std::fmt::Write;
+
+use leverpoint::interface::Ending;
+
+use crate::exchange::Final;
+
+const ENDINGS: [Ending; 9] = [
+    Ending::Answered,
+    Ending::Error,
+    Ending::Full,
+    Ending::TimedOut,
+    Ending::NotConnected,
+    Ending::Reset,
+    Ending::Cancelled,
+    Ending::NotSent,
+    Ending::Missed,
+];
+
+type Count = Cell<u64>;
+
+#[derive(Default)]
+pub struct Counters {
+    groups: Vec<(String, Count)>,
+    answered: Count,
+    throttled: Count,
+    failed: Count,
+    gone: Count,
+    dispatched: Count,
+    endings: [Count; ENDINGS.len()],
+    pub clients: Connections,
+    pub servers: Connections,
+    pub lists: Count,
+    pub list_failures: Count,
+    pub bad_messages: Count,
+}
+
+/// Connections of one side.
+#[derive(Default)]
+pub struct Connections {
+    pub opened: Count,
+    pub refused: Count,
+    pub closed: Count,
+}
+
+impl Connections {
+    pub fn in_use(&self) -> u64 {
+        self.opened.get() - self.closed.get()
+    }
+}
+
+pub fn add(count: &Count) {
+    count.set(count.get() + 1);
+}
+
+impl Counters {
+    pub fn new(groups: &[String]) -> Self {
+        let groups = groups.iter().map(|name| (name.clone(), Count::default())).collect();
+        Counters { groups, ..Counters::default() }
+    }
+
+    pub fn taken(&self, group: usize) {
+        add(&self.groups[group].1);
+    }
+
+    pub fn hung_up(&self) {
+        add(&self.gone);
+    }
+
+    pub fn dispatched(&self) {
+        add(&self.dispatched);
+    }
+
+    pub fn answered(&self, answer: &Final) {
+        add(match answer {
+            Final::Answered(_) => &self.answered,
+            Final::Throttled(_) => &self.throttled,
+            Final::Failed => &self.failed,
+        });
+    }
+
+    pub fn dispatch_ended(&self, ending: Ending) {
+        if let Some(at) = ENDINGS.iter().position(|e| *e == ending) {
+            add(&self.endings[at]);
+        }
+    }
+
+    /// All of them as one line of name=count.
+    pub fn line(&self) -> String {
+        let mut out = String::new();
+        for (name, count) in &self.groups {
+            let _ = write!(out, "taken.{name}={} ", count.get());
+        }
+        let finals = [
+            ("answered", &self.answered),
+            ("throttled", &self.throttled),
+            ("failed", &self.failed),
+            ("gone", &self.gone),
+            ("dispatched", &self.dispatched),
+            ("lists", &self.lists),
+            ("list_failures", &self.list_failures),
+            ("bad_messages", &self.bad_messages),
+        ];
+        for (name, count) in finals {
+            let _ = write!(out, "{name}={} ", count.get());
+        }
+        for (ending, count) in ENDINGS.iter().zip(&self.endings) {
+            let _ = write!(out, "ended.{ending:?}={} ", count.get());
+        }
+        for (side, c) in [("clients", &self.clients), ("servers", &self.servers)] {
+            let _ = write!(
+                out,
+                "{side}.opened={} {side}.refused={} {side}.closed={} {side}.in_use={} ",
+                c.opened.get(),
+                c.refused.get(),
+                c.closed.get(),
+                c.in_use()
+            );
+        }
+        out.truncate(out.trim_end().len());
+        out
+    }
+}
--- /dev/null
+++ b/gateway/src/exchange.rs
@@ -0,0 +1,617 @@
+//! Owns the decision module, the clock, the timers and the commands; alone calls `Decider::take`.
+//!
+//! The client side brings commands and waits for their final answers, the server side carries out dispatches
+//! and reports their ends, discovery brings lists; none of them knows of the others. Nothing is decided
+//! here: each effect is carried out as it stands, and one that can't be becomes the dispatch's true end.
+//! `take` is never entered from within another: what comes up meanwhile waits in the inbox.
+
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use leverpoint::decide::Decider;
+use leverpoint::indices::{HeldCommand, Indices, Sessions};
+use leverpoint::interface::{
+    Arrival, DispatchEnd, Effect, Ending, Input, Listed, Need, News, Phase, Tenths, Word,
+};
+use leverpoint_facts::settings::{Opened, down, up};
+use tokio::sync::{Notify, oneshot};
+
+use crate::counters::Counters;
+use crate::fault::{Cause, Fault, Reached};
+use crate::statement::Said;
+
+/// Unix time, read once; from then on it only goes forward.
+struct Clock {
+    began: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { began: Instant::now(), unix }
+    }
+
+    fn elapsed(&self) -> Duration {
+        self.unix + self.began.elapsed()
+    }
+
+    /// Rounded up, so that what is left of a client's patience is never overrated.
+    fn now(&self) -> Tenths {
+        self.elapsed().as_nanos().div_ceil(100_000) as Tenths
+    }
+
+    fn now_rounded_down(&self) -> Tenths {
+        (self.elapsed().as_nanos() / 100_000) as Tenths
+    }
+
+    fn instant(&self, at: Tenths) -> Instant {
+        let since = Duration::from_micros(at.max(0) as u64 * 100).saturating_sub(self.unix);
+        self.began + since
+    }
+}
+
+/// A command's statement, passed on as it came but for the value of `d`.
+pub struct Statement {
+    pub text: Box<[u8]>,
+    pub wait_at: Range<usize>,
+}
+
+#[derive(Debug)]
+pub enum Final {
+    /// The messages of the row, as the server gave them.
+    Answered(Vec<u8>),
+    /// Milliseconds after which to come back; 0 gives no advice.
+    Throttled(u64),
+    Failed,
+}
+
+/// One line of discovery's list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub uid: String,
+    pub endpoint: Option<SocketAddr>,
+    pub zone: String,
+    pub set: u16,
+    pub phase: Phase,
+    pub primary: bool,
+    pub size: f64,
+    /// Unix milliseconds of its last start; 0 when long ago.
+    pub started_ms: f64,
+}
+
+/// Carries out dispatches. It must not call back before it returns.
+pub trait Carrier {
+    fn carry(&self, order: Order);
+    /// The server is not to be kept connected: it drains, is gone, has moved or started again.
+    fn let_go(&self, server: usize);
+}
+
+/// One dispatch, or a probe, to be carried out; it ends exactly once, at the latest when it is dropped.
+pub struct Order {
+    exchange: Rc<Exchange>,
+    sent: Tenths,
+    errand: Errand,
+    ended: bool,
+    pub server: usize,
+    pub address: SocketAddr,
+    /// None for a probe.
+    pub statement: Option<Rc<Statement>>,
+    pub wait: Tenths,
+    pub until: Instant,
+    pub called_off: Rc<Notify>,
+    pub reached: Cell<Reached>,
+    delivered: Cell<bool>,
+}
+
+#[derive(Clone, Copy)]
+enum Errand {
+    Dispatch { cmd: usize, nth: u32 },
+    Probe,
+}
+
+impl Order {
+    /// The row is whole: the client need not wait for what else the server says.
+    pub fn deliver(&self, row: Vec<u8>) {
+        self.delivered.set(true);
+        if let Errand::Dispatch { cmd, .. } = self.errand {
+            self.exchange.deliver(cmd, Final::Answered(row));
+        }
+    }
+
+    pub fn delivered(&self) -> bool {
+        self.delivered.get()
+    }
+
+    /// A fault as far as the dispatch has come.
+    pub fn fault(&self, cause: Cause) -> Fault {
+        Fault { reached: self.reached.get(), cause }
+    }
+
+    pub fn end(mut self, ending: Ending, said: Option<Spoken>) {
+        self.report(ending, said);
+    }
+
+    fn report(&mut self, ending: Ending, said: Option<Spoken>) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let exchange = &self.exchange;
+        let took = exchange.clock.now() - self.sent;
+        exchange.counters.dispatch_ended(ending);
+        let event = match self.errand {
+            Errand::Dispatch { cmd, nth } => {
+                Event::Ended { cmd, nth, server: self.server, ending, took, said }
+            }
+            Errand::Probe => Event::Probed { server: self.server, ok: ending == Ending::Answered, said },
+        };
+        exchange.take(event);
+    }
+}
+
+impl Drop for Order {
+    fn drop(&mut self) {
+        let ending = if self.delivered() { Ending::Answered } else { self.fault(Cause::Broken).ending() };
+        self.report(ending, None);
+    }
+}
+
+/// What a server has said of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Spoken {
+    pub primary: Option<bool>,
+    /// Unix milliseconds.
+    pub position: Option<f64>,
+}
+
+impl Spoken {
+    pub fn hear(&mut self, parameter: Option<(&str, &str)>) {
+        match parameter {
+            Some(("mode", "read-write")) => self.primary = Some(true),
+            Some(("mode", "read-only")) => self.primary = Some(false),
+            Some(("wal_time", at)) => self.position = at.parse().ok().filter(|at: &f64| at.is_finite()),
+            _ => {}
+        }
+    }
+}
+
+enum Event {
+    List(News, Vec<Listed>),
+    Arrived(Arrival),
+    Ended { cmd: usize, nth: u32, server: usize, ending: Ending, took: Tenths, said: Option<Spoken> },
+    HungUp(usize),
+    Due(u32),
+    Probed { server: usize, ok: bool, said: Option<Spoken> },
+}
+
+struct Running {
+    held: HeldCommand,
+    statement: Rc<Statement>,
+    answer: Option<oneshot::Sender<Final>>,
+    dispatches: u32,
+    out: Vec<(u32, Rc<Notify>)>,
+}
+
+struct Inner {
+    decider: Decider,
+    /// Ids of commands are counted; an index is what the module knows them by.
+    commands: Vec<Option<Running>>,
+    free: Vec<usize>,
+    sessions: Sessions<Box<str>>,
+    servers: Indices<String>,
+    sets: Indices<u16>,
+    places: Vec<Place>,
+    timers: BinaryHeap<Reverse<(Tenths, u32)>>,
+}
+
+#[derive(Clone, Default)]
+struct Place {
+    address: Option<SocketAddr>,
+    started_ms: f64,
+}
+
+pub struct Exchange {
+    inner: RefCell<Inner>,
+    inbox: RefCell<VecDeque<Event>>,
+    busy: Cell<bool>,
+    clock: Clock,
+    pub opened: Opened,
+    carrier: RefCell<Option<Rc<dyn Carrier>>>,
+    timers_changed: Notify,
+    /// Discovery is to follow the list, or to ask for it once.
+    pub following: Cell<bool>,
+    pub ask_once: Cell<bool>,
+    pub list_wanted: Notify,
+    pub counters: Rc<Counters>,
+    log: slog::Logger,
+}
+
+/// A command that waits for its final answer; letting go of it earlier means that the client has gone.
+pub struct Ticket {
+    exchange: Rc<Exchange>,
+    cmd: usize,
+    answer: oneshot::Receiver<Final>,
+    done: bool,
+}
+
+impl Future for Ticket {
+    type Output = Final;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Final> {
+        let answer = std::task::ready!(Pin::new(&mut self.answer).poll(cx));
+        self.done = true;
+        Poll::Ready(answer.unwrap_or(Final::Failed))
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        if !self.done {
+            self.exchange.take(Event::HungUp(self.cmd));
+        }
+    }
+}
+
+impl Exchange {
+    pub fn new(opened: Opened, counters: Rc<Counters>, log: slog::Logger) -> Rc<Self> {
+        let inner = Inner {
+            decider: Decider::new(opened.facts.clone()),
+            commands: Vec::new(),
+            free: Vec::new(),
+            sessions: Sessions::default(),
+            servers: Indices::default(),
+            sets: Indices::default(),
+            places: Vec::new(),
+            timers: BinaryHeap::new(),
+        };
+        Rc::new(Exchange {
+            inner: RefCell::new(inner),
+            inbox: RefCell::default(),
+            busy: Cell::new(false),
+            clock: Clock::new(),
+            following: Cell::new(opened.facts.list.pushed),
+            ask_once: Cell::new(false),
+            list_wanted: Notify::new(),
+            opened,
+            carrier: RefCell::new(None),
+            timers_changed: Notify::new(),
+            counters,
+            log,
+        })
+    }
+
+    pub fn set_carrier(&self, carrier: Rc<dyn Carrier>) {
+        *self.carrier.borrow_mut() = Some(carrier);
+    }
+
+    /// The longest that any client waits.
+    pub fn longest_timeout(&self) -> Duration {
+        let longest = self.opened.facts.groups.iter().map(|g| g.timeout).max().unwrap_or(0);
+        Duration::from_micros(longest as u64 * 100)
+    }
+
+    pub fn connect_timeout(&self) -> Duration {
+        Duration::from_micros(self.opened.connect_timeout as u64 * 100)
+    }
+
+    /// Takes a command that a client has sent whole.
+    pub fn arrived(self: &Rc<Self>, said: &Said<'_>, text: &str) -> Result<Ticket, (&'static str, String)> {
+        let unknown = |what: &str, name: &str| ("22023", format!("{what}: {name:.40} is not known here"));
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        let group = place(&self.opened.groups, said.group).ok_or_else(|| unknown("c", said.group))?;
+        let customer = match said.customer {
+            None => 0,
+            Some(_) if self.opened.customers.is_empty() => 0,
+            Some(name) => place(&self.opened.customers, name).ok_or_else(|| unknown("t", name))?,
+        };
+        let facts = &self.opened.facts.groups[group];
+        let write = facts.need == Need::Write;
+        if write != said.write {
+            return Err(("22023", format!("c: {} does not fit the statement", said.group)));
+        }
+        let keyed = matches!(facts.effect, leverpoint::interface::Effects::Keyed { .. });
+        if keyed && !said.keyed {
+            return Err(("22023", format!("k: expected an idempotency key for {}", said.group)));
+        }
+        let mut guard = self.inner.borrow_mut();
+        let inner = &mut *guard;
+        let set = inner.sets.find(&said.set).ok_or_else(|| unknown("cluster", &said.set.to_string()))?;
+        let session = match facts.need {
+            Need::Write => Some(inner.sessions.writes(said.key.into())),
+            Need::Session => Some(inner.sessions.reads(said.key.into())),
+            _ => None,
+        };
+        let (answer, receiver) = oneshot::channel();
+        let running = Running {
+            held: HeldCommand { write, session, ..HeldCommand::default() },
+            statement: Rc::new(Statement { text: text.as_bytes().into(), wait_at: said.wait_at.clone() }),
+            answer: Some(answer),
+            dispatches: 0,
+            out: Vec::new(),
+        };
+        let cmd = match inner.free.pop() {
+            Some(cmd) => cmd,
+            None => {
+                inner.commands.push(None);
+                inner.commands.len() - 1
+            }
+        };
+        inner.commands[cmd] = Some(running);
+        self.counters.taken(group);
+        let wait = down(said.wait).min(facts.timeout);
+        let arrival = Arrival {
+            cmd,
+            group,
+            customer,
+            set,
+            session,
+            ends: self.clock.now_rounded_down() + wait,
+            token: said.after.filter(|&at| at > 0.0).map(up),
+            repeat: said.repeat,
+        };
+        drop(guard);
+        let ticket = Ticket { exchange: self.clone(), cmd, answer: receiver, done: false };
+        self.take(Event::Arrived(arrival));
+        Ok(ticket)
+    }
+
+    fn take(self: &Rc<Self>, event: Event) {
+        self.inbox.borrow_mut().push_back(event);
+        if self.busy.replace(true) {
+            return;
+        }
+        let guard = Busy(&self.busy);
+        let mut effects = Vec::new();
+        loop {
+            let Some(event) = self.inbox.borrow_mut().pop_front() else { break };
+            let ended = self.hand_over(event, &mut effects);
+            for effect in effects.drain(..) {
+                self.carry_out(effect);
+            }
+            if let Some(cmd) = ended {
+                self.recycle(cmd);
+            }
+        }
+        drop(guard);
+    }
+
+    /// One input to the module; returns the command that it touched.
+    fn hand_over(&self, event: Event, effects: &mut Vec<Effect>) -> Option<usize> {
+        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *inner;
+        let now = self.clock.now();
+        let mut touched = None;
+        match event {
+            Event::List(news, listed) => inner.decider.take(now, &Input::List(news, &listed), effects),
+            Event::Arrived(arrival) => inner.decider.take(now, &Input::Arrived(arrival), effects),
+            Event::Due(key) => inner.decider.take(now, &Input::Due(key), effects),
+            Event::Probed { server, ok, said } => {
+                let word = self.word(said, false);
+                inner.decider.take(now, &Input::Probed { server, ok, word }, effects);
+            }
+            Event::HungUp(cmd) => {
+                let running = inner.commands.get_mut(cmd)?.as_mut()?;
+                if running.held.over {
+                    return None;
+                }
+                running.held.over = true;
+                running.answer = None;
+                self.counters.hung_up();
+                inner.decider.take(now, &Input::HungUp(cmd), effects);
+                touched = Some(cmd);
+            }
+            Event::Ended { cmd, nth, server, ending, took, said } => {
+                let running = inner.commands.get_mut(cmd)?.as_mut()?;
+                running.held.out -= 1;
+                running.out.retain(|(n, _)| *n != nth);
+                running.held.over |= ending == Ending::Answered;
+                let held = running.held;
+                let word = self.word(said, held.write && ending == Ending::Answered);
+                if let (true, Some(session), Ending::Answered, Some(Word { position: Some(_), .. })) =
+                    (held.write, held.session, ending, word)
+                {
+                    inner.sessions.remembered(session);
+                }
+                let end = DispatchEnd { cmd, nth, server, ending, took, over: held.over, word };
+                inner.decider.take(now, &Input::Ended(end), effects);
+                touched = Some(cmd);
+            }
+        }
+        touched
+    }
+
+    fn word(&self, said: Option<Spoken>, commit: bool) -> Option<Word> {
+        let said = said?;
+        let rounded = if commit { up } else { down };
+        Some(Word { primary: said.primary?, position: said.position.map(rounded) })
+    }
+
+    fn carry_out(self: &Rc<Self>, effect: Effect) {
+        match effect {
+            Effect::Dispatch { cmd, server, timeout } => self.dispatch(cmd, server, timeout),
+            Effect::Cancel { cmd, nth } => {
+                let inner = self.inner.borrow();
+                let running = inner.commands.get(cmd).and_then(Option::as_ref);
+                if let Some((_, off)) = running.and_then(|r| r.out.iter().find(|(n, _)| *n == nth)) {
+                    off.notify_one();
+                }
+            }
+            Effect::Throttle { cmd, come_back } => {
+                self.deliver(cmd, Final::Throttled(come_back as u64 / 10));
+                self.recycle(cmd);
+            }
+            Effect::Fail { cmd } => {
+                self.deliver(cmd, Final::Failed);
+                self.recycle(cmd);
+            }
+            Effect::Timer { at, key } => {
+                self.inner.borrow_mut().timers.push(Reverse((at, key)));
+                self.timers_changed.notify_one();
+            }
+            Effect::Probe { server } => self.order(Errand::Probe, server, None, self.opened.connect_timeout),
+            // Gateways are not told each other's addresses, so there is nobody to tell.
+            Effect::Tell(_) => {}
+            Effect::AskList => {
+                self.ask_once.set(true);
+                self.list_wanted.notify_one();
+            }
+            Effect::FollowList(on) => {
+                self.following.set(on);
+                self.list_wanted.notify_one();
+            }
+            Effect::ForgetSession(session) => self.inner.borrow_mut().sessions.forgotten(session),
+            Effect::Log(text) => slog::info!(self.log, "module"; "says" => text),
+        }
+    }
+
+    fn dispatch(self: &Rc<Self>, cmd: usize, server: usize, timeout: Tenths) {
+        let mut inner = self.inner.borrow_mut();
+        let Some(running) = inner.commands.get_mut(cmd).and_then(Option::as_mut) else { return };
+        let nth = running.dispatches;
+        running.dispatches += 1;
+        running.held.out += 1;
+        let statement = running.statement.clone();
+        drop(inner);
+        self.order(Errand::Dispatch { cmd, nth }, server, Some(statement), timeout);
+    }
+
+    fn order(self: &Rc<Self>, errand: Errand, server: usize, statement: Option<Rc<Statement>>, wait: Tenths) {
+        let sent = self.clock.now();
+        let called_off = Rc::new(Notify::new());
+        let mut inner = self.inner.borrow_mut();
+        if let Errand::Dispatch { cmd, nth } = errand
+            && let Some(running) = inner.commands[cmd].as_mut()
+        {
+            running.out.push((nth, called_off.clone()));
+        }
+        let address = inner.places.get(server).and_then(|p| p.address);
+        drop(inner);
+        let until = self.clock.instant(sent + wait);
+        let mut order = Order {
+            exchange: self.clone(),
+            sent,
+            errand,
+            ended: false,
+            server,
+            address: address.unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0))),
+            statement,
+            wait,
+            until,
+            called_off,
+            reached: Cell::new(Reached::NotConnected),
+            delivered: Cell::new(false),
+        };
+        self.counters.dispatched();
+        match (address, self.carrier.borrow().as_ref()) {
+            (Some(_), Some(carrier)) => carrier.carry(order),
+            _ => order.report(Ending::NotSent, None),
+        }
+    }
+
+    /// The final answer of a command, if it has none yet.
+    fn deliver(&self, cmd: usize, answer: Final) {
+        let mut inner = self.inner.borrow_mut();
+        let Some(running) = inner.commands.get_mut(cmd).and_then(Option::as_mut) else { return };
+        if running.held.over {
+            return;
+        }
+        running.held.over = true;
+        self.counters.answered(&answer);
+        if let Some(waiting) = running.answer.take() {
+            let _ = waiting.send(answer);
+        }
+    }
+
+    fn recycle(&self, cmd: usize) {
+        let mut inner = self.inner.borrow_mut();
+        let done = inner.commands[cmd].as_ref().is_some_and(|r| r.held.done());
+        let Some(running) = inner.commands[cmd].take_if(|_| done) else { return };
+        inner.free.push(cmd);
+        if let (true, Some(session)) = (running.held.write, running.held.session) {
+            inner.sessions.write_over(session);
+        }
+    }
+
+    /// News of the list; the module is told it as what it is.
+    pub fn list(self: &Rc<Self>, news: News, entries: &[Entry]) {
+        let mut left = Vec::new();
+        let listed = {
+            let mut inner = self.inner.borrow_mut();
+            entries.iter().map(|entry| self.listed(&mut inner, entry, &mut left)).collect()
+        };
+        self.take(Event::List(news, listed));
+        if let Some(carrier) = self.carrier.borrow().as_ref() {
+            left.into_iter().for_each(|server| carrier.let_go(server));
+        }
+    }
+
+    fn listed(&self, inner: &mut Inner, entry: &Entry, left: &mut Vec<usize>) -> Listed {
+        let server = inner.servers.index(&entry.uid);
+        if inner.places.len() <= server {
+            inner.places.resize(server + 1, Place::default());
+        }
+        let place = &mut inner.places[server];
+        let address = entry.endpoint.or(place.address);
+        let moved = place.address.is_some() && place.address != address;
+        if moved || entry.started_ms > place.started_ms || entry.phase != Phase::Ready {
+            left.push(server);
+        }
+        *place = Place { address, started_ms: entry.started_ms };
+        let zones = &self.opened.zones;
+        Listed {
+            server,
+            set: inner.sets.index(&entry.set),
+            zone: zones.iter().position(|z| *z == entry.zone).unwrap_or(zones.len()),
+            phase: entry.phase,
+            primary: entry.primary,
+            size: entry.size,
+            started: if entry.started_ms == 0.0 { 0 } else { up(entry.started_ms) },
+        }
+    }
+
+    /// Commands that have no final answer yet.
+    pub fn open(&self) -> usize {
+        self.inner.borrow().commands.iter().flatten().filter(|r| !r.held.over).count()
+    }
+
+    /// Keeps the module's timers.
+    pub async fn keep_time(self: Rc<Self>) {
+        loop {
+            let next = self.inner.borrow().timers.peek().map(|Reverse((at, _))| *at);
+            let Some(at) = next else {
+                self.timers_changed.notified().await;
+                continue;
+            };
+            let until = self.clock.instant(at).into();
+            tokio::select! {
+                _ = tokio::time::sleep_until(until) => {}
+                _ = self.timers_changed.notified() => {}
+            }
+            loop {
+                let now = self.clock.now();
+                let mut inner = self.inner.borrow_mut();
+                let due = inner.timers.peek().is_some_and(|Reverse((at, _))| *at <= now);
+                let next = if due { inner.timers.pop() } else { None };
+                drop(inner);
+                let Some(Reverse((_, key))) = next else { break };
+                self.take(Event::Due(key));
+            }
+        }
+    }
+}
+
+struct Busy<'a>(&'a Cell<bool>);
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
--- /dev/null
+++ b/gateway/src/fault.rs
@@ -0,0 +1,44 @@
+//! Owns the ways in which a dispatch fails, as values that carry how far it had come.
+//!
+//! How far alone says whether the dispatch may have run. Nothing here may guess at that, or at what to do.
+
+use leverpoint::interface::Ending;
+
+/// How far a dispatch has come; it only ever goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reached {
+    NotConnected,
+    NotWritten,
+    Written,
+    Answering,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The connection was refused, ended or broke.
+    Broken,
+    /// What came back is not the protocol.
+    Garbled,
+    TimedOut,
+    CalledOff,
+    /// No descriptor or no address to connect with.
+    NoMeans,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Fault {
+    pub reached: Reached,
+    pub cause: Cause,
+}
+
+impl Fault {
+    pub fn ending(self) -> Ending {
+        match (self.reached < Reached::Written, self.cause) {
+            (_, Cause::CalledOff) => Ending::Cancelled,
+            (true, Cause::NoMeans) => Ending::NotSent,
+            (true, _) => Ending::NotConnected,
+            (false, Cause::TimedOut) => Ending::TimedOut,
+            (false, _) => Ending::Reset,
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main.rs
@@ -0,0 +1,116 @@
+//! Owns the command line and the log: `leverpoint serve`, `version` and `check FILE`.
+//!
+//! It reads nothing itself but the words it was started with, and decides nothing.
+
+mod clients;
+mod counters;
+mod discovery;
+mod exchange;
+mod fault;
+mod message;
+mod ring;
+mod serve;
+mod servers;
+mod statement;
+
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::process::ExitCode;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use bpaf::{OptionParser, Parser, construct, positional, pure};
+use leverpoint_facts::node::{self, Node};
+use slog::{Drain, KV, Logger, OwnedKVList, Record, o};
+
+#[derive(Clone, Debug)]
+enum Asked {
+    Serve,
+    Version,
+    Check(String),
+}
+
+fn words() -> OptionParser<Asked> {
+    let serve = pure(Asked::Serve).to_options();
+    let serve = serve.descr("Serves, as NODE_CONFIG and the other NODE_ variables say");
+    let version = pure(Asked::Version).to_options().descr("Prints the version");
+    let file = positional::<String>("FILE").help("A configuration as NODE_CONFIG names one");
+    let check = file.map(Asked::Check).to_options();
+    let check = check.descr("Reads a configuration and prints what it comes to, or the faulty key");
+    let (serve, version, check) =
+        (serve.command("serve"), version.command("version"), check.command("check"));
+    construct!([serve, version, check]).to_options().descr("A read and write splitter for database clusters")
+}
+
+fn main() -> ExitCode {
+    let done = match words().run() {
+        Asked::Version => {
+            println!("leverpoint {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Asked::Check(file) => node::from_file(&file, |_| None).map(|node| print!("{}", comes_to(&node))),
+        Asked::Serve => match node::from_environment(|name| std::env::var(name).ok()) {
+            Ok(node) => {
+                let log = Logger::root(Lines.fuse(), o!());
+                let Err(e) = serve::run(node, log) else { return ExitCode::SUCCESS };
+                eprintln!("leverpoint: {e}");
+                return ExitCode::FAILURE;
+            }
+            Err(fault) => Err(fault),
+        },
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("leverpoint: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// What a configuration comes to, a line a thing.
+fn comes_to(node: &Node) -> String {
+    let mut out = String::new();
+    let facts = &node.opened.facts;
+    let _ = writeln!(out, "name {}, listens on {}", node.name, node.listen);
+    let _ = writeln!(out, "discovery {}, gateway {} of {}", node.discovery, facts.me, facts.gateways);
+    let limits = &node.limits;
+    let _ = writeln!(out, "limits {} MiB, {} descriptors", limits.memory_bytes >> 20, limits.sockets);
+    for (name, group) in node.opened.groups.iter().zip(&facts.groups) {
+        let _ = writeln!(out, "command group {name}: {group:?}");
+    }
+    let _ = writeln!(out, "customers {}", node.opened.customers.join(", "));
+    let _ = writeln!(out, "zones {}", node.opened.zones.join(", "));
+    let _ = writeln!(out, "{:?}\n{:?}\n{:?}", facts.list, facts.allowed, facts.guard);
+    out
+}
+
+/// Writes each record as one line of name=value to standard error, in one write, so no lock is needed.
+struct Lines;
+
+impl Drain for Lines {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), slog::Never> {
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        let mut line = Line(format!(
+            "at={at} level={} event={:?}",
+            record.level().as_short_str(),
+            record.msg().to_string()
+        ));
+        let _ = values.serialize(record, &mut line);
+        let _ = record.kv().serialize(record, &mut line);
+        line.0.push('\n');
+        let _ = std::io::stderr().write_all(line.0.as_bytes());
+        Ok(())
+    }
+}
+
+struct Line(String);
+
+impl slog::Serializer for Line {
+    fn emit_arguments(&mut self, key: slog::Key, value: &std::fmt::Arguments<'_>) -> slog::Result {
+        let _ = write!(self.0, " {key}={:?}", value.to_string());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/gateway/src/message.rs
@@ -0,0 +1,131 @@
+//! Owns the messages of PostgreSQL's protocol version 3, both ways: framing, and the few that are needed.
+//!
+//! It must never wait, keep state between messages, or trust a length that it has not bounded.
+
+use crate::ring::Ring;
+
+/// A value of 64 KiB as hex text is twice that; the rest of a statement or an answer is far below 8 KiB.
+pub const LONGEST: usize = (128 + 8) << 10;
+/// Startup packets are short; PostgreSQL itself takes up to 10,000 bytes.
+const LONGEST_STARTUP: usize = 10_000;
+
+pub const SSL: i32 = 80_877_103;
+pub const GSSENC: i32 = 80_877_104;
+pub const CANCEL: i32 = 80_877_102;
+
+#[derive(Debug, PartialEq)]
+pub enum Read {
+    /// More bytes are needed for the message, as far as its length is known so many in all.
+    Short,
+    /// A message with its type and body.
+    Message(u8, Vec<u8>),
+    /// A message longer than is taken; so many bytes of it are to be passed over.
+    Long(u8, usize),
+    /// The length is impossible: framing is lost.
+    Broken,
+}
+
+/// Takes the next message out of the ring, once it is there whole.
+pub fn next(ring: &mut Ring) -> Read {
+    let Some([tag, a, b, c, d]) = ring.peek::<5>(0) else { return Read::Short };
+    let length = i32::from_be_bytes([a, b, c, d]);
+    if length < 4 {
+        return Read::Broken;
+    }
+    let whole = 1 + length as usize;
+    if whole > LONGEST {
+        return Read::Long(tag, whole);
+    }
+    if ring.len() < whole {
+        return Read::Short;
+    }
+    ring.skip(5);
+    Read::Message(tag, ring.take(whole - 5))
+}
+
+/// The first packet of a connection: its code and what follows; it carries no type.
+pub fn startup(ring: &mut Ring) -> Result<Option<(i32, Vec<u8>)>, ()> {
+    let Some(head) = ring.peek::<8>(0) else { return Ok(None) };
+    let number = |at: usize| i32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
+    let whole = usize::try_from(number(0)).map_err(|_| ())?;
+    if !(8..=LONGEST_STARTUP).contains(&whole) {
+        return Err(());
+    }
+    if ring.len() < whole {
+        return Ok(None);
+    }
+    ring.skip(8);
+    Ok(Some((number(4), ring.take(whole - 8))))
+}
+
+/// Appends a message.
+pub fn put(out: &mut Vec<u8>, tag: u8, body: &[&[u8]]) {
+    let length: usize = 4 + body.iter().map(|part| part.len()).sum::<usize>();
+    out.push(tag);
+    out.extend_from_slice(&(length as u32).to_be_bytes());
+    body.iter().for_each(|part| out.extend_from_slice(part));
+}
+
+/// What a gateway says to a client that it admits.
+pub fn admitted(minor: i32) -> Vec<u8> {
+    let mut out = Vec::new();
+    if minor > 0 {
+        // The newest minor version known here, and no option that was not understood.
+        put(&mut out, b'v', &[&0i32.to_be_bytes(), &0i32.to_be_bytes()]);
+    }
+    put(&mut out, b'R', &[&0i32.to_be_bytes()]);
+    let told = [
+        ("server_version", "15.0 (leverpoint)"),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("DateStyle", "ISO, MDY"),
+        ("integer_datetimes", "on"),
+        ("standard_conforming_strings", "on"),
+    ];
+    for (name, value) in told {
+        put(&mut out, b'S', &[name.as_bytes(), b"\0", value.as_bytes(), b"\0"]);
+    }
+    ready(&mut out);
+    out
+}
+
+pub fn ready(out: &mut Vec<u8>) {
+    put(out, b'Z', &[b"I"]);
+}
+
+/// An ErrorResponse; `fatal` where the connection ends with it.
+pub fn error(out: &mut Vec<u8>, fatal: bool, code: &str, text: &str, detail: Option<&str>) {
+    let severity: &[u8] = if fatal { b"FATAL\0" } else { b"ERROR\0" };
+    let mut body = vec![&b"S"[..], severity, b"V", severity, b"C", code.as_bytes(), b"\0M", text.as_bytes()];
+    if let Some(detail) = detail {
+        body.extend([&b"\0D"[..], detail.as_bytes()]);
+    }
+    body.push(b"\0\0");
+    put(out, b'E', &body);
+}
+
+/// What a gateway says first to a server.
+pub fn hello() -> Vec<u8> {
+    let words = b"user\0svc\0database\0main\0\0";
+    let mut out = ((8 + words.len()) as u32).to_be_bytes().to_vec();
+    out.extend_from_slice(&(3i32 << 16).to_be_bytes());
+    out.extend_from_slice(words);
+    out
+}
+
+/// The five-character code of an ErrorResponse.
+pub fn code(body: &[u8]) -> Option<&[u8]> {
+    body.split(|&b| b == 0).find(|field| field.first() == Some(&b'C')).map(|field| &field[1..])
+}
+
+/// Name and value of a ParameterStatus.
+pub fn parameter(body: &[u8]) -> Option<(&str, &str)> {
+    let text = std::str::from_utf8(body).ok()?;
+    let mut words = text.split('\0');
+    Some((words.next()?, words.next()?))
+}
+
+/// The number of columns that a RowDescription or a DataRow begins with.
+pub fn columns(body: &[u8]) -> Option<u16> {
+    Some(u16::from_be_bytes([*body.first()?, *body.get(1)?]))
+}
--- /dev/null
+++ b/gateway/src/ring.rs
@@ -0,0 +1,219 @@
+//! Owns the bytes of a connection: a ring buffer a direction, and the link that moves them.
+//!
+//! A ring begins small, grows up to the bound that it was made with and gives its memory back once empty.
+//! It must never grow past its bound, hand a byte out twice, or know what the bytes mean.
+
+use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
+use std::net::{Shutdown, SocketAddr};
+
+use socket2::SockRef;
+use tokio::net::TcpStream;
+
+/// What a ring begins with and falls back to: a few commands or answers of the usual size.
+const SMALL: usize = 2 << 10;
+
+pub struct Ring {
+    bytes: Vec<u8>,
+    head: usize,
+    len: usize,
+    bound: usize,
+}
+
+impl Ring {
+    pub fn new(bound: usize) -> Self {
+        Ring { bytes: Vec::new(), head: 0, len: 0, bound }
+    }
+
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// How many bytes more it may take.
+    pub fn space(&self) -> usize {
+        self.bound.saturating_sub(self.len)
+    }
+
+    /// Makes room for `more` bytes, as far as the bound allows.
+    fn reserve(&mut self, more: usize) {
+        let wanted = (self.len + more).min(self.bound);
+        if wanted > self.bytes.len() {
+            let mut bytes = vec![0; wanted.next_power_of_two().clamp(SMALL.min(self.bound), self.bound)];
+            self.copy(0, &mut bytes[..self.len]);
+            (self.bytes, self.head) = (bytes, 0);
+        }
+    }
+
+    /// The two parts of what is free, in order.
+    fn free(&mut self) -> (&mut [u8], &mut [u8]) {
+        let size = self.bytes.len();
+        let end = self.head + self.len;
+        if end >= size {
+            let start = end - size;
+            (&mut self.bytes[start..self.head], &mut [])
+        } else {
+            let (front, back) = self.bytes.split_at_mut(end);
+            (back, &mut front[..self.head])
+        }
+    }
+
+    /// The two parts of what it holds, in order.
+    fn parts(&self) -> (&[u8], &[u8]) {
+        let end = self.head + self.len;
+        if end <= self.bytes.len() {
+            (&self.bytes[self.head..end], &[])
+        } else {
+            (&self.bytes[self.head..], &self.bytes[..end - self.bytes.len()])
+        }
+    }
+
+    /// Copies what stands from `at` on; the caller has made sure that it is there.
+    fn copy(&self, at: usize, to: &mut [u8]) {
+        let (front, back) = self.parts();
+        let from_front = front.len().saturating_sub(at).min(to.len());
+        to[..from_front].copy_from_slice(&front[at.min(front.len())..][..from_front]);
+        let rest = to.len() - from_front;
+        let skipped = at.saturating_sub(front.len());
+        to[from_front..].copy_from_slice(&back[skipped..skipped + rest]);
+    }
+
+    /// The bytes from `at` on, where so many are there.
+    pub fn peek<const N: usize>(&self, at: usize) -> Option<[u8; N]> {
+        let mut out = [0; N];
+        (self.len >= at + N).then(|| self.copy(at, &mut out))?;
+        Some(out)
+    }
+
+    /// Takes `n` bytes out; the caller has made sure that they are there.
+    pub fn take(&mut self, n: usize) -> Vec<u8> {
+        let mut out = vec![0; n];
+        self.copy(0, &mut out);
+        self.skip(n);
+        out
+    }
+
+    /// Drops the next `n` bytes, or all that are there; returns how many.
+    pub fn skip(&mut self, n: usize) -> usize {
+        let n = n.min(self.len);
+        self.head = (self.head + n) % self.bytes.len().max(1);
+        self.len -= n;
+        if self.len == 0 {
+            self.head = 0;
+            if self.bytes.len() > SMALL {
+                self.bytes = Vec::new();
+            }
+        }
+        n
+    }
+
+    /// Appends as much as the bound allows; returns how much.
+    pub fn push(&mut self, bytes: &[u8]) -> usize {
+        let n = bytes.len().min(self.space());
+        if n == 0 {
+            return 0;
+        }
+        self.reserve(n);
+        let (front, back) = self.free();
+        let in_front = n.min(front.len());
+        front[..in_front].copy_from_slice(&bytes[..in_front]);
+        back[..n - in_front].copy_from_slice(&bytes[in_front..n]);
+        self.len += n;
+        n
+    }
+}
+
+/// Both directions of a connection.
+pub struct Link {
+    stream: TcpStream,
+    pub input: Ring,
+    pub output: Ring,
+}
+
+impl Link {
+    pub fn new(stream: TcpStream, input_bound: usize, output_bound: usize) -> Self {
+        // A command or an answer is written whole at once; waiting for more would only delay it.
+        let _ = stream.set_nodelay(true);
+        Link { stream, input: Ring::new(input_bound), output: Ring::new(output_bound) }
+    }
+
+    pub async fn connect(to: SocketAddr, input_bound: usize, output_bound: usize) -> io::Result<Self> {
+        Ok(Link::new(TcpStream::connect(to).await?, input_bound, output_bound))
+    }
+
+    /// Reads what is there now, without waiting; an end of the other side is an error.
+    pub fn read_now(&mut self) -> io::Result<usize> {
+        if self.input.space() == 0 {
+            return Err(ErrorKind::WouldBlock.into());
+        }
+        self.input.reserve(SMALL);
+        let (front, back) = self.input.free();
+        let read = self.stream.try_read_vectored(&mut [IoSliceMut::new(front), IoSliceMut::new(back)]);
+        match read {
+            Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
+            Ok(n) => {
+                self.input.len += n;
+                Ok(n)
+            }
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Waits for more input; where the ring is full, for the connection's end. Safe to drop while it waits.
+    pub async fn read(&mut self) -> io::Result<usize> {
+        loop {
+            if self.input.space() == 0 {
+                std::future::pending::<()>().await;
+            }
+            self.stream.readable().await?;
+            match self.read_now() {
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+                read => return read,
+            }
+        }
+    }
+
+    /// Writes some of the output, as much as the connection takes now.
+    async fn write_some(&mut self) -> io::Result<usize> {
+        loop {
+            self.stream.writable().await?;
+            let (front, back) = self.output.parts();
+            match self.stream.try_write_vectored(&[IoSlice::new(front), IoSlice::new(back)]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(n) => return Ok(self.output.skip(n)),
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// Writes all of the parts, one after the other; `wrote` counts what the connection has taken.
+    pub async fn write(&mut self, parts: &[&[u8]], wrote: &mut usize) -> io::Result<()> {
+        for part in parts {
+            let mut part = *part;
+            while !part.is_empty() {
+                let n = self.output.push(part);
+                part = &part[n..];
+                if self.output.space() == 0 {
+                    *wrote += self.write_some().await?;
+                }
+            }
+        }
+        while !self.output.is_empty() {
+            *wrote += self.write_some().await?;
+        }
+        Ok(())
+    }
+
+    /// Tells the other side that nothing more comes, and waits for its end, passing over what it still says.
+    pub async fn finish(&mut self) -> io::Result<()> {
+        SockRef::from(&self.stream).shutdown(Shutdown::Write)?;
+        loop {
+            let n = self.input.len();
+            self.input.skip(n);
+            self.read().await?;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/servers.rs
@@ -0,0 +1,275 @@
+//! Owns the connections to database servers: carries out one dispatch on one connection at a time.
+//!
+//! It reports each dispatch's end as it was, never sends a statement again of its own accord once a byte of it
+//! may have left, and knows neither clients nor the reasons for a dispatch.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use leverpoint::interface::{Ending, Tenths};
+use tokio::task::spawn_local;
+use tokio::time::{sleep_until, timeout};
+
+use crate::counters::{Counters, add};
+use crate::exchange::{Carrier, Order, Spoken};
+use crate::fault::{Cause, Fault, Reached};
+use crate::message::{self, LONGEST, Read};
+use crate::ring::Link;
+use crate::serve::{Claim, Descriptors};
+
+/// What is written at once; a longer statement goes out in turns.
+const OUTPUT: usize = 16 << 10;
+
+struct Connection {
+    link: Link,
+    address: SocketAddr,
+    idle_since: Instant,
+    counters: Rc<Counters>,
+    _claim: Claim,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        add(&self.counters.servers.closed);
+    }
+}
+
+pub struct Servers {
+    /// Idle connections of each server, the one used last at the back.
+    idle: RefCell<BTreeMap<usize, VecDeque<Connection>>>,
+    descriptors: Rc<Descriptors>,
+    counters: Rc<Counters>,
+    connect_timeout: Duration,
+    idle_for: Duration,
+}
+
+/// What came of a dispatch that the server has ended.
+struct Ended {
+    ending: Ending,
+    said: Spoken,
+    reusable: bool,
+}
+
+fn span(tenths: Tenths) -> Duration {
+    Duration::from_micros(tenths.max(0) as u64 * 100)
+}
+
+impl Servers {
+    pub fn new(
+        descriptors: Rc<Descriptors>,
+        counters: Rc<Counters>,
+        connect_timeout: Tenths,
+        idle_close: Tenths,
+    ) -> Rc<Self> {
+        // Closed here before the server does: a statement that crosses its closing would end as a reset, so
+        // as long before as a connection may take to come up.
+        let idle_for = span((idle_close - connect_timeout).max(idle_close / 2));
+        let connect_timeout = span(connect_timeout);
+        Rc::new(Servers { idle: RefCell::default(), descriptors, counters, connect_timeout, idle_for })
+    }
+
+    async fn run(self: Rc<Self>, order: Order) {
+        let ended = tokio::select! {
+            biased;
+            ended = self.attempt(&order) => ended,
+            _ = sleep_until(order.until.into()) => Err(order.fault(Cause::TimedOut)),
+            _ = order.called_off.notified() => Err(order.fault(Cause::CalledOff)),
+        };
+        match ended {
+            Ok(ended) => order.end(ended.ending, Some(ended.said)),
+            // The row was whole and is with the client; only the rest is missing.
+            Err(_) if order.delivered() => order.end(Ending::Answered, None),
+            Err(fault) => order.end(fault.ending(), None),
+        }
+    }
+
+    async fn attempt(self: &Rc<Self>, order: &Order) -> Result<Ended, Fault> {
+        let mut connection = self.write(order).await?;
+        order.reached.set(Reached::Written);
+        let ended = connection.answer(order).await?;
+        if ended.reusable {
+            connection.idle_since = Instant::now();
+            self.idle.borrow_mut().entry(order.server).or_default().push_back(connection);
+        }
+        Ok(ended)
+    }
+
+    /// Writes the statement to an idle connection or a new one. Where an idle one proves closed before
+    /// anything went out, the next is taken.
+    async fn write(&self, order: &Order) -> Result<Connection, Fault> {
+        let wait = format!("{}", (order.wait / 10).max(1));
+        let head;
+        let parts: Vec<&[u8]> = match &order.statement {
+            Some(statement) => {
+                let (text, at) = (&statement.text, &statement.wait_at);
+                let length = 4 + text.len() - at.len() + wait.len() + 1;
+                head = [&b"Q"[..], &(length as u32).to_be_bytes()].concat();
+                vec![&head, &text[..at.start], wait.as_bytes(), &text[at.end..], b"\0"]
+            }
+            None => vec![b"Q\0\0\0\x05\0"],
+        };
+        loop {
+            let idle = self.take_idle(order.server, order.address);
+            let reused = idle.is_some();
+            let mut connection = match idle {
+                Some(connection) => connection,
+                None => self.connect(order).await?,
+            };
+            order.reached.set(Reached::NotWritten);
+            let mut wrote = 0;
+            match connection.link.write(&parts, &mut wrote).await {
+                Ok(()) => return Ok(connection),
+                Err(_) if reused && wrote == 0 => {}
+                Err(_) => return Err(order.fault(Cause::Broken)),
+            }
+        }
+    }
+
+    fn take_idle(&self, server: usize, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&server)?;
+        while let Some(mut connection) = kept.pop_back() {
+            let fresh = connection.address == address && connection.idle_since.elapsed() < self.idle_for;
+            if fresh && connection.quiet() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self, order: &Order) -> Result<Connection, Fault> {
+        let claim = self.descriptors.claim().or_else(|| {
+            self.close_longest_idle();
+            self.descriptors.claim()
+        });
+        let Some(claim) = claim else {
+            add(&self.counters.servers.refused);
+            return Err(order.fault(Cause::NoMeans));
+        };
+        let opened = timeout(self.connect_timeout, Connection::open(order.address, &self.counters, claim));
+        match opened.await {
+            Ok(Ok(connection)) => Ok(connection),
+            Ok(Err(_)) => Err(order.fault(Cause::Broken)),
+            Err(_) => Err(order.fault(Cause::TimedOut)),
+        }
+    }
+
+    fn close_longest_idle(&self) {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.values_mut().filter(|kept| !kept.is_empty());
+        if let Some(kept) = kept.min_by_key(|kept| kept[0].idle_since) {
+            kept.pop_front();
+        }
+    }
+
+    /// Closes what has been idle for too long, and the longest idle where descriptors are short.
+    pub async fn tidy(self: Rc<Self>) {
+        loop {
+            let next = Instant::now() + self.idle_for / 8;
+            tokio::select! {
+                _ = sleep_until(next.into()) => {}
+                _ = self.descriptors.short.notified() => self.close_longest_idle(),
+            }
+            let mut idle = self.idle.borrow_mut();
+            for kept in idle.values_mut() {
+                kept.retain_mut(|c| c.idle_since.elapsed() < self.idle_for && c.quiet());
+            }
+            idle.retain(|_, kept| !kept.is_empty());
+        }
+    }
+}
+
+impl Carrier for Rc<Servers> {
+    fn carry(&self, order: Order) {
+        spawn_local(self.clone().run(order));
+    }
+
+    fn let_go(&self, server: usize) {
+        self.idle.borrow_mut().remove(&server);
+    }
+}
+
+impl Connection {
+    /// A connection is up once the server is ready for a first statement.
+    async fn open(address: SocketAddr, counters: &Rc<Counters>, claim: Claim) -> io::Result<Self> {
+        let link = Link::connect(address, LONGEST, OUTPUT).await?;
+        add(&counters.servers.opened);
+        let (idle_since, counters) = (Instant::now(), counters.clone());
+        let mut connection = Connection { link, address, idle_since, counters, _claim: claim };
+        connection.link.write(&[&message::hello()], &mut 0).await?;
+        loop {
+            match connection.next().await? {
+                (b'Z', _) => return Ok(connection),
+                (b'R', body) if body != [0; 4] => return Err(ErrorKind::PermissionDenied.into()),
+                (b'R' | b'S' | b'K' | b'N' | b'v', _) => {}
+                _ => return Err(ErrorKind::InvalidData.into()),
+            }
+        }
+    }
+
+    /// Nothing has come and nothing has ended while it was idle.
+    fn quiet(&mut self) -> bool {
+        matches!(self.link.read_now(), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
+    async fn next(&mut self) -> io::Result<(u8, Vec<u8>)> {
+        loop {
+            match message::next(&mut self.link.input) {
+                Read::Message(tag, body) => return Ok((tag, body)),
+                Read::Long(..) | Read::Broken => return Err(ErrorKind::InvalidData.into()),
+                Read::Short => self.link.read().await?,
+            };
+        }
+    }
+
+    /// Reads what the server says until it is ready for the next statement.
+    async fn answer(&mut self, order: &Order) -> Result<Ended, Fault> {
+        let mut row = Vec::new();
+        let mut rows = 0;
+        let mut ending = None;
+        let mut said = Spoken::default();
+        loop {
+            let (tag, body) = match self.next().await {
+                Ok(message) => message,
+                // An error that ends the connection has been said whole all the same.
+                Err(_) if ending.is_some_and(|e| e != Ending::Answered) => break,
+                Err(e) if e.kind() == ErrorKind::InvalidData => return Err(order.fault(Cause::Garbled)),
+                Err(_) => return Err(order.fault(Cause::Broken)),
+            };
+            match (tag, ending) {
+                (b'T' | b'D', None) if message::columns(&body) == Some(1) => {
+                    order.reached.set(Reached::Answering);
+                    let wanted = if tag == b'T' { row.is_empty() } else { !row.is_empty() };
+                    rows += u32::from(tag == b'D');
+                    if !wanted || rows > 1 {
+                        return Err(order.fault(Cause::Garbled));
+                    }
+                    message::put(&mut row, tag, &[&body]);
+                }
+                (b'C', None) if rows == 1 => {
+                    message::put(&mut row, tag, &[&body]);
+                    order.deliver(std::mem::take(&mut row));
+                    ending = Some(Ending::Answered);
+                }
+                (b'I', None) if order.statement.is_none() => ending = Some(Ending::Answered),
+                (b'E', None) => {
+                    ending = Some(match message::code(&body) {
+                        Some(b"25006" | b"72000") => Ending::Missed,
+                        Some(b"53300") => Ending::Full,
+                        _ => Ending::Error,
+                    });
+                }
+                (b'S', _) => said.hear(message::parameter(&body)),
+                (b'N', _) => {}
+                (b'Z', Some(ending)) => return Ok(Ended { ending, said, reusable: true }),
+                _ => return Err(order.fault(Cause::Garbled)),
+            }
+        }
+        let ending = ending.unwrap_or(Ending::Reset);
+        Ok(Ended { ending, said, reusable: false })
+    }
+}
