What is too much for the descriptors is sent back at once instead of left waiting

The log and the counters showed accepting paused with 81 descriptors held: the machine goes on accepting into the backlog, and what is written there counts as taken.

At fault: claim_for_client in serve.rs, which paused accept at three quarters of the descriptors with idle clients still connected, and claim_for_server, which could use up all that was left.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -252,6 +252,7 @@
 
     /// Ends the connection so that nothing the client has said is answered by a reset.
     async fn leave(&mut self) -> io::Result<()> {
-        timeout(self.patience, self.link.finish()).await.map_err(|_| io::Error::from(ErrorKind::TimedOut))?
+        let lingers = self.exchange.connect_timeout();
+        timeout(lingers, self.link.finish()).await.map_err(|_| io::Error::from(ErrorKind::TimedOut))?
     }
 }
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -33,11 +33,12 @@
 ///
 /// Half of them clients leave alone, so that each one's command can be sent. Where they are short, idle
 /// connections to servers go first, then idle ones of clients. A client that still comes has been accepted by
-/// the machine, and its command with it, so it is heard and sent back rather than left to wait; only when
-/// nearly none is left accepting pauses.
+/// the machine, and its command with it, so it is heard and sent back rather than left to wait: an eighth is
+/// kept for that, and only when it is used up accepting pauses.
 pub struct Descriptors {
     left: Cell<usize>,
     for_servers: usize,
+    for_sent_back: usize,
     freed: Notify,
     /// Closes an idle connection to a server; whether there was one.
     close_idle: RefCell<Option<Box<dyn Fn() -> bool>>>,
@@ -52,7 +53,8 @@
         let left = sockets.saturating_sub(OTHER_DESCRIPTORS);
         Rc::new(Descriptors {
             left: Cell::new(left),
-            for_servers: left / 2,
+            for_servers: (left - left / 8) / 2,
+            for_sent_back: left / 8,
             freed: Notify::new(),
             close_idle: RefCell::new(None),
             leaving,
@@ -78,7 +80,7 @@
     pub async fn claim_for_server(self: &Rc<Self>) -> Claim {
         loop {
             let freed = self.freed.notified();
-            if let Some(claim) = self.claim(0) {
+            if let Some(claim) = self.claim(self.for_sent_back) {
                 return claim;
             }
             if !self.close_idle() {
@@ -92,14 +94,14 @@
     async fn claim_for_client(self: &Rc<Self>) -> (Claim, bool) {
         loop {
             let freed = self.freed.notified();
-            if let Some(claim) = self.claim(self.for_servers) {
+            if let Some(claim) = self.claim(self.for_servers + self.for_sent_back) {
                 return (claim, true);
             }
             if self.close_idle() {
                 continue;
             }
             // One that leaves gives back in a moment what the new one takes now.
-            if let Some(claim) = self.claim(self.for_servers / 2) {
+            if let Some(claim) = self.claim(0) {
                 return (claim, self.leaving.ask_one());
             }
             freed.await;
