Ready to clients only with a list; a server's 'no more connections' is a full one, not silence

Seen while reading the protocol's table against servers.rs: 53300 in answer to the startup message ended as not connected, three of which in a row the module takes for silence. By the table it is turned away, so it ends as Full. A gateway without any list answered the front's empty query and then refused every command as of an unknown set; now the empty query waits for the first list. Where a list must be asked for, a failure ends the following until the module asks again.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -103,7 +103,7 @@
                 b'Q' => {
                     self.query(body, room.take()).await?;
                     if !self.stays {
-                        return Ok(());
+                        return self.leave().await;
                     }
                 }
                 b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' => {
@@ -156,6 +156,10 @@
         let mut out = Vec::new();
         let said = match statement::read(text) {
             Ok(Kind::Empty) => {
+                // A front asks in this way whether to send clients here.
+                if timeout(self.patience, self.exchange.ready()).await.is_err() {
+                    return self.refuse("57P03", "no list of servers yet", true).await;
+                }
                 message::put(&mut out, b'I', &[]);
                 message::ready(&mut out);
                 return self.write(&out).await;
@@ -171,8 +175,7 @@
         if !self.stays {
             add(&self.exchange.counters.clients.refused);
             message::error(&mut out, true, "53300", "too many connections", None);
-            self.write(&out).await?;
-            return self.leave().await;
+            return self.write(&out).await;
         }
         let ticket = match self.exchange.arrived(&said, text) {
             Ok(ticket) => ticket,
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -247,6 +247,9 @@
     pub following: Cell<bool>,
     pub ask_once: Cell<bool>,
     pub list_wanted: Notify,
+    /// Whether any list has come, and word of the first.
+    listed: Cell<bool>,
+    first_list: Notify,
     pub counters: Rc<Counters>,
     log: slog::Logger,
 }
@@ -299,6 +302,8 @@
             following: Cell::new(opened.facts.list.pushed),
             ask_once: Cell::new(false),
             list_wanted: Notify::new(),
+            listed: Cell::new(false),
+            first_list: Notify::new(),
             opened,
             carrier: RefCell::new(None),
             timers_changed: Notify::new(),
@@ -317,6 +322,13 @@
         Duration::from_micros(longest as u64 * 100)
     }
 
+    /// Waits until there is a list to decide by.
+    pub async fn ready(&self) {
+        if !self.listed.get() {
+            self.first_list.notified().await;
+        }
+    }
+
     pub fn connect_timeout(&self) -> Duration {
         Duration::from_micros(self.opened.connect_timeout as u64 * 100)
     }
@@ -485,7 +497,7 @@
                 self.timers_changed.notify_one();
             }
             Effect::Probe { server } => self.order(Errand::Probe, server, None, self.opened.connect_timeout),
-            // Gateways are not told each other's addresses, so there is nobody to tell.
+            // The protocol's pages do not say how gateways reach each other.
             Effect::Tell(_) => {}
             Effect::AskList => {
                 self.ask_once.set(true);
@@ -576,6 +588,13 @@
             entries.iter().map(|entry| self.listed(&mut inner, entry, &mut left)).collect()
         };
         self.take(Event::List(news, listed));
+        if news == News::Failed {
+            // One that must be asked for is followed again once the module asks.
+            self.following.set(self.opened.facts.list.pushed);
+            return;
+        }
+        self.listed.set(true);
+        self.first_list.notify_waiters();
         if let Some(carrier) = self.carrier.borrow().as_ref() {
             left.into_iter().for_each(|server| carrier.let_go(server));
         }
--- a/gateway/src/fault.rs
+++ b/gateway/src/fault.rs
@@ -21,6 +21,8 @@
     Garbled,
     TimedOut,
     CalledOff,
+    /// The server has said that it takes no more connections.
+    TurnedAway,
     /// No descriptor or no address to connect with.
     NoMeans,
 }
@@ -36,6 +38,7 @@
         match (self.reached < Reached::Written, self.cause) {
             (_, Cause::CalledOff) => Ending::Cancelled,
             (true, Cause::NoMeans) => Ending::NotSent,
+            (true, Cause::TurnedAway) => Ending::Full,
             (true, _) => Ending::NotConnected,
             (false, Cause::TimedOut) => Ending::TimedOut,
             (false, _) => Ending::Reset,
--- a/gateway/src/servers.rs
+++ b/gateway/src/servers.rs
@@ -153,6 +153,7 @@
         let opened = timeout(self.connect_timeout, Connection::open(order.address, &self.counters, claim));
         match opened.await {
             Ok(Ok(connection)) => Ok(connection),
+            Ok(Err(e)) if e.kind() == ErrorKind::QuotaExceeded => Err(order.fault(Cause::TurnedAway)),
             Ok(Err(_)) => Err(order.fault(Cause::Broken)),
             Err(_) => Err(order.fault(Cause::TimedOut)),
         }
@@ -200,6 +201,9 @@
         loop {
             match connection.next(None).await? {
                 (b'Z', ..) => return Ok(connection),
+                (b'E', body, _) if message::code(&body) == Some(b"53300") => {
+                    return Err(ErrorKind::QuotaExceeded.into());
+                }
                 (b'R', body, _) if body != [0; 4] => return Err(ErrorKind::PermissionDenied.into()),
                 (b'R' | b'S' | b'K' | b'N' | b'v', ..) => {}
                 _ => return Err(ErrorKind::InvalidData.into()),
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -79,15 +79,16 @@
     heard: Receiver<String>,
 }
 
-fn server(mode: &'static str, does: Vec<Does>) -> Server {
+fn server(mode: &str, does: Vec<Does>) -> Server {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let (tell, heard) = mpsc::channel();
     let does = Arc::new(Mutex::new(VecDeque::from(does)));
+    let mode = mode.to_owned();
     thread::spawn(move || {
         for stream in listener.incoming() {
-            let (tell, does) = (tell.clone(), does.clone());
-            thread::spawn(move || serve(stream.unwrap(), mode, &tell, &does));
+            let (tell, does, mode) = (tell.clone(), does.clone(), mode.clone());
+            thread::spawn(move || serve(stream.unwrap(), &mode, &tell, &does));
         }
     });
     Server { address, heard }
@@ -103,6 +104,11 @@
     stream.read_exact(&mut head).ok()?;
     let mut rest = vec![0; u32::from_be_bytes(head) as usize - 4];
     stream.read_exact(&mut rest).ok()?;
+    if mode == "no more connections" {
+        let mut out = Vec::new();
+        put(&mut out, b'E', b"SFATAL\0C53300\0Mno\0\0");
+        return stream.write_all(&out).ok();
+    }
     stream.write_all(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I").ok()?;
     loop {
         let (_, body) = message(&mut stream)?;
@@ -391,6 +397,7 @@
         ("too far behind", Does::Code("72000")),
         ("full", Does::Code("53300")),
         ("an error", Does::Code("XX000")),
+        ("no more connections", Does::Drop),
         ("reset", Does::Drop),
         ("cut in the row", Does::Bytes(cut)),
         ("garbage", Does::Bytes(b"no such protocol at all".to_vec())),
@@ -399,7 +406,7 @@
         ("silence", Does::Silence),
     ];
     for (name, end) in ends {
-        let (primary, replica) = (server("read-write", rows("primary's")), server("read-only", vec![end]));
+        let (primary, replica) = (server("read-write", rows("primary's")), server(name, vec![end]));
         // Near targets, as silence is waited for.
         let near = settings().replace("30000.0", "800.0");
         let gateway = gateway_with(&[(&primary, "read-write"), (&replica, "read-only")], &near, 1024);
@@ -625,7 +632,7 @@
 }
 
 #[test]
-fn counters_are_printed_when_asked_for_and_the_address_is_free_at_once_after_a_kill() {
+fn counters_are_printed_when_asked_for_and_after_a_kill_it_is_ready_again_with_its_first_list() {
     let primary = server("read-write", rows("x"));
     let mut gateway = gateway(&[(&primary, "read-write")]);
     let mut client = gateway.client();
@@ -634,6 +641,7 @@
     assert!(gateway.logged("event=\"counters\"").contains(" answered=1 "));
     gateway.child.kill().unwrap();
     gateway.child.wait().unwrap();
+    gateway.agent = agent();
     let text = config(&gateway.address, &gateway.agent.address, "null", settings());
     let file = std::env::temp_dir().join(format!("leverpoint-{}-again.json", std::process::id()));
     std::fs::write(&file, text).unwrap();
@@ -642,6 +650,13 @@
     gateway.child = again;
     let mut lines = BufReader::new(gateway.child.stderr.take().unwrap()).lines();
     assert!(lines.any(|line| line.unwrap().contains("event=\"serving\"")));
+    let mut client = gateway.client();
+    client.send(&query(""));
+    assert!(gateway.agent.asked.recv_timeout(LONG).unwrap().starts_with("GET /api/targets HTTP"));
+    let targets = [target("s0", &primary.address, "up", "read-write")];
+    gateway.agent.say.send(http(&list(7, true, &targets))).unwrap();
+    assert_eq!(client.answer(), "I Z");
+    assert_eq!(client.ask(&insert("report")), "T D x C Z");
     std::fs::remove_file(file).unwrap();
 }
 
