The bound on a command's wait lies past the answer slack, behind the module's own answer

Seen: a test whose command is held to its client timeout now and then got 58000 in place of the module's 53300. Cause: the client side's own bound stood at the very end of the client's wait (Ticket::until in exchange.rs), and the module's 10 ms timer, rounded up by the runtime to whole milliseconds, can come a moment after it. It told a client 'failed' where trying again was harmless. The bound now lies past contract.answerSlackMs, where nothing counts any more; facts reads that key.

--- a/facts/src/settings.rs
+++ b/facts/src/settings.rs
@@ -21,6 +21,8 @@
     pub zones: Vec<String>,
     /// How long opening a connection to a server may take.
     pub connect_timeout: Tenths,
+    /// A final answer so long after the client's wait still counts.
+    pub answer_slack: Tenths,
     /// A server closes a connection that has been idle for so long.
     pub idle_close: Tenths,
 }
@@ -132,6 +134,7 @@
             .map(|z| Ok(z.text()?.to_owned()))
             .collect::<Result<_, Fault>>()?,
         connect_timeout: down(limits.get("connectTimeoutMs").or(250.0, Key::span)?).max(10),
+        answer_slack: down(contract.get("answerSlackMs").or(20.0, Key::span)?),
         idle_close: down(limits.get("idleCloseMs").or(15_000.0, Key::span)?),
     })
 }
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -262,7 +262,7 @@
     cmd: usize,
     answer: oneshot::Receiver<Final>,
     done: bool,
-    /// When the client stops waiting; by then the module has answered.
+    /// When even a late answer no longer counts; the module has answered long before.
     pub until: Instant,
 }
 
@@ -391,7 +391,7 @@
             repeat: said.repeat,
         };
         drop(guard);
-        let until = self.clock.instant(arrival.ends);
+        let until = self.clock.instant(arrival.ends + self.opened.answer_slack);
         let ticket = Ticket { exchange: self.clone(), cmd, answer: receiver, done: false, until };
         self.take(Event::Arrived(arrival));
         Ok(ticket)
