--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -503,6 +503,26 @@
     }
 }
 
+#[test]
+fn a_reader_that_does_not_read_holds_up_nobody_else() {
+    let value = "ab".repeat(32 << 10);
+    let primary = server("read-write", rows(&value));
+    let gateway = gateway(&[(&primary, "read-write")]);
+    let (mut slow, mut other) = (gateway.client(), gateway.client());
+    // Far more than the system keeps for a connection both ways.
+    let many = 400;
+    let text = query(&insert("report"));
+    let mut ahead = slow.stream.try_clone().unwrap();
+    let sends = thread::spawn(move || (0..many).for_each(|_| ahead.write_all(&text).unwrap()));
+    sends.join().unwrap();
+    for _ in 0..5 {
+        assert_eq!(other.ask(&insert("report")), "T D of 65536 bytes C Z");
+    }
+    for nth in 0..many {
+        assert_eq!(slow.answer(), "T D of 65536 bytes C Z", "answer {nth}");
+    }
+}
+
 #[test]
 fn a_server_that_drains_or_moves_is_followed_and_a_failed_ask_leaves_the_list() {
     let (one, two) = (server("read-write", rows("one")), server("read-write", rows("two")));
