--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -91,6 +91,7 @@
     b.end(9, 3, Ending::Missed, Some((false, 0)));
     b.list(News::Changes, &[0, 2].map(|s| line(s, Phase::Draining, false, 0)));
     b.arrive(10, 4, Some(9));
+    (0..2).for_each(|nth| b.end(10, nth, Ending::NotConnected, None));
     b.pass(2100);
     assert_snapshot!(b.trace());
 }
