Discovery's failures are logged once until it answers again

Seen while sending 3,000 connections of broken bytes at a gateway with 64 MB, 256 descriptors and no agent: no panic, 5 MB, 162 descriptors, served afterwards and ended in order; but its log said four times a second that discovery failed. The counter still counts each.

--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -60,6 +60,7 @@
 pub async fn follow(agent: SocketAddr, exchange: Rc<Exchange>, log: slog::Logger) {
     let mut agent = Agent { address: agent, link: None };
     let mut held: Option<u64> = None;
+    let mut failing = false;
     loop {
         if !exchange.following.get() && !exchange.ask_once.take() {
             exchange.list_wanted.notified().await;
@@ -78,6 +79,9 @@
         match answer.map(|body| serde_json::from_slice(&body).ok().and_then(|v| told(&v))) {
             Ok(Some(told)) => {
                 add(&exchange.counters.lists);
+                if std::mem::replace(&mut failing, false) {
+                    slog::info!(log, "discovery answers again");
+                }
                 let back = held.is_some_and(|held| told.revision < held);
                 if told.whole || !back {
                     let news = if told.whole { News::Whole } else { News::Changes };
@@ -93,8 +97,10 @@
             failed => {
                 agent.link = None;
                 add(&exchange.counters.list_failures);
-                let why = failed.err().map_or("not a list".to_owned(), |e| e.to_string());
-                slog::warn!(log, "discovery failed"; "why" => why);
+                if !std::mem::replace(&mut failing, true) {
+                    let why = failed.err().map_or("not a list".to_owned(), |e| e.to_string());
+                    slog::warn!(log, "discovery failed"; "why" => why);
+                }
                 exchange.list(News::Failed, &[]);
                 sleep(exchange.connect_timeout()).await;
             }
