Read once more: twins folded in gateway, drill and facts; behaviour unchanged

What stood twice now stands once: what a session is told at a write's end (drill and exchange, now Sessions::ended and over); tenths to a span of time (three places, now in facts); reading up to a line's end, bounded waits and concluding an answer in the gateway; the check of the comment's place; how the tests start a gateway, near targets and the startup message.

Simpler: the end after SIGTERM is written in its order and not as a state of a loop, so counters are printed on SIGUSR1 during it as well; a dispatch looks its command up once; an ending that could not occur and an unused test value are gone.

--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -76,12 +76,7 @@
             Event::Response(response) => {
                 let Some(cmd) = self.commands.find(&response.id) else { return Ok(()) };
                 let end = self.ended(cmd, &response)?;
-                let positioned = end.word.is_some_and(|w| w.position.is_some());
-                if let (HeldCommand { write: true, session: Some(session), .. }, Ending::Answered, true) =
-                    (self.held[cmd], end.ending, positioned)
-                {
-                    self.sessions.remembered(session);
-                }
+                self.sessions.ended(&self.held[cmd], end.ending, end.word);
                 self.decider.take(now, &Input::Ended(end), &mut self.effects);
                 let held = &mut self.held[cmd];
                 held.out = held.out.saturating_sub(1);
@@ -264,13 +259,11 @@
 
     /// A command's index is free once it is over and none of its dispatches is out.
     fn recycle(&mut self, cmd: usize) {
-        let held = &mut self.held[cmd];
+        let held = &self.held[cmd];
         if !held.done() || self.commands.find(self.commands.id(cmd)) != Some(cmd) {
             return;
         }
         self.commands.let_go(cmd);
-        if let (true, Some(session)) = (held.write, held.session) {
-            self.sessions.write_over(session);
-        }
+        self.sessions.over(held);
     }
 }
--- a/facts/src/key.rs
+++ b/facts/src/key.rs
@@ -93,6 +93,11 @@
         })
     }
 
+    /// A list of texts; an absent one is empty.
+    pub fn texts(&self) -> Result<Vec<String>, Fault> {
+        self.items()?.iter().map(|item| Ok(item.text()?.to_owned())).collect()
+    }
+
     /// The keys of a list; an absent one is empty.
     pub fn items(&self) -> Result<Vec<Key<'a>>, Fault> {
         let list = match self.value {
--- a/facts/src/lib.rs
+++ b/facts/src/lib.rs
@@ -8,4 +8,4 @@
 pub mod node;
 pub mod settings;
 
-pub use key::{Fault, Key};
+pub use key::Fault;
--- a/facts/src/node.rs
+++ b/facts/src/node.rs
@@ -38,7 +38,7 @@
 }
 
 /// A variable that is set goes before the key of the file that says the same.
-pub fn read(text: &[u8], var: impl Fn(&str) -> Option<String>) -> Result<Node, Fault> {
+fn read(text: &[u8], var: impl Fn(&str) -> Option<String>) -> Result<Node, Fault> {
     let value: Value = serde_json::from_slice(text)
         .map_err(|e| Fault::new(format!("NODE_CONFIG: expected a file of JSON, but {e}")))?;
     let top = Key::root(&value);
--- a/facts/src/settings.rs
+++ b/facts/src/settings.rs
@@ -1,5 +1,7 @@
 //! The settings object, read into the module's facts and what protocols need beside them.
 
+use std::time::Duration;
+
 use leverpoint::interface::{
     Allowed, Check, CustomerFacts, Effects, Facts, GroupFacts, Guard, ListKeeping, Need, Reach, Tenths, Token,
 };
@@ -35,6 +37,11 @@
     tenths(ms, f64::ceil)
 }
 
+/// A time or a span as the runtime counts it.
+pub fn span(tenths: Tenths) -> Duration {
+    Duration::from_micros(tenths.max(0) as u64 * 100)
+}
+
 /// Whole tenths; the wire counts in microseconds, so a hair off a whole one is that one.
 fn tenths(ms: f64, rounded: fn(f64) -> f64) -> Tenths {
     let near = (ms * 10.0).round();
@@ -116,9 +123,8 @@
             fall_time: up(contract.get("fallMs").span()?),
         },
     };
-    let fields = top.get("report").get("names").items()?;
-    let fields: Vec<_> = fields.iter().map(Key::text).collect::<Result<_, _>>()?;
-    let place = |name: &str| fields.iter().position(|n| *n == name);
+    let fields = top.get("report").get("names").texts()?;
+    let place = |name: &str| fields.iter().position(|n| n == name);
     let name = |k: &Key<'_>| Ok(k.get("name").or("", Key::text)?.to_owned());
     Ok(Opened {
         facts,
@@ -127,12 +133,7 @@
         x1: place("x1"),
         groups: grades.iter().map(name).collect::<Result<_, Fault>>()?,
         customers: tenants.iter().map(name).collect::<Result<_, Fault>>()?,
-        zones: top
-            .get("zones")
-            .items()?
-            .iter()
-            .map(|z| Ok(z.text()?.to_owned()))
-            .collect::<Result<_, Fault>>()?,
+        zones: top.get("zones").texts()?,
         connect_timeout: down(limits.get("connectTimeoutMs").or(250.0, Key::span)?).max(10),
         answer_slack: down(contract.get("answerSlackMs").or(20.0, Key::span)?),
         idle_close: down(limits.get("idleCloseMs").or(15_000.0, Key::span)?),
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -52,6 +52,11 @@
     let _ = client.serve(&leaving).await;
 }
 
+/// What comes of it in that time; a time-out is an error like the others.
+async fn within<T>(span: Duration, future: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    timeout(span, future).await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))
+}
+
 impl Client {
     async fn serve(&mut self, leaving: &Leaving) -> io::Result<()> {
         if !self.admit().await? {
@@ -103,7 +108,7 @@
                 b'X' => return Ok(()),
                 b'S' => {
                     skipping = false;
-                    self.ready().await?;
+                    self.conclude(Vec::new()).await?;
                 }
                 _ if skipping => {}
                 b'Q' => {
@@ -128,8 +133,7 @@
             let (code, _) = match message::startup(&mut self.link.input) {
                 Ok(Some(packet)) => packet,
                 Ok(None) => {
-                    let read = timeout(self.patience, self.link.read()).await;
-                    read.map_err(|_| io::Error::from(ErrorKind::TimedOut))??;
+                    within(self.patience, self.link.read()).await?;
                     continue;
                 }
                 Err(()) => {
@@ -167,13 +171,11 @@
                     return self.refuse("57P03", "no list of servers yet", true).await;
                 }
                 message::put(&mut out, b'I', &[]);
-                message::ready(&mut out);
-                return self.write(&out).await;
+                return self.conclude(out).await;
             }
             Ok(Kind::Session(word)) => {
                 message::put(&mut out, b'C', &[word.as_bytes(), b"\0"]);
-                message::ready(&mut out);
-                return self.write(&out).await;
+                return self.conclude(out).await;
             }
             Ok(Kind::Command(said)) => said,
             Err((code, why)) => return self.refuse(code, &why, true).await,
@@ -211,19 +213,17 @@
             }
             Final::Failed => message::error(&mut out, false, "58000", "no server has answered", None),
         }
-        message::ready(&mut out);
-        let wrote = self.write(&out).await;
+        let wrote = self.conclude(out).await;
         drop(rooms);
         wrote
     }
 
     async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let wrote = timeout(self.patience, self.link.write(&[bytes], &mut 0)).await;
-        wrote.map_err(|_| io::Error::from(ErrorKind::TimedOut))?
+        within(self.patience, self.link.write(&[bytes], &mut 0)).await
     }
 
-    async fn ready(&mut self) -> io::Result<()> {
-        let mut out = Vec::new();
+    /// Writes what is said and that the next message may come.
+    async fn conclude(&mut self, mut out: Vec<u8>) -> io::Result<()> {
         message::ready(&mut out);
         self.write(&out).await
     }
@@ -233,10 +233,7 @@
         add(&self.exchange.counters.bad_messages);
         let mut out = Vec::new();
         message::error(&mut out, false, code, why, None);
-        if ready {
-            message::ready(&mut out);
-        }
-        self.write(&out).await
+        if ready { self.conclude(out).await } else { self.write(&out).await }
     }
 
     /// An error with which the connection ends.
@@ -254,14 +251,12 @@
             if bytes == 0 {
                 return Ok(());
             }
-            let read = timeout(self.patience, self.link.read()).await;
-            read.map_err(|_| io::Error::from(ErrorKind::TimedOut))??;
+            within(self.patience, self.link.read()).await?;
         }
     }
 
     /// Ends the connection so that nothing the client has said is answered by a reset.
     async fn leave(&mut self) -> io::Result<()> {
-        let lingers = self.exchange.connect_timeout();
-        timeout(lingers, self.link.finish()).await.map_err(|_| io::Error::from(ErrorKind::TimedOut))?
+        within(self.exchange.connect_timeout(), self.link.finish()).await
     }
 }
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -137,16 +137,7 @@
 
     /// Reads an answer whole; keeps the connection where the agent does.
     async fn answer(&mut self, mut link: Link) -> io::Result<Vec<u8>> {
-        let head = loop {
-            if let Some(head) = line_end(&link, b"\r\n\r\n") {
-                break link.input.take(head);
-            }
-            if link.input.space() == 0 {
-                return Err(garbled());
-            }
-            link.read().await?;
-        };
-        let head = String::from_utf8(head).map_err(|_| garbled())?.to_ascii_lowercase();
+        let head = read_to(&mut link, b"\r\n\r\n").await?.to_ascii_lowercase();
         let mut lines = head.split("\r\n");
         let status = lines.next().unwrap_or_default();
         if !status.starts_with("http/1.") || status.split(' ').nth(1) != Some("200") {
@@ -160,7 +151,9 @@
         let mut body = Vec::new();
         if field("transfer-encoding").is_some_and(|v| v.ends_with("chunked")) {
             loop {
-                let size = self.chunk_size(&mut link).await?;
+                let line = read_to(&mut link, b"\r\n").await?;
+                let digits = line.trim_end().split(';').next().unwrap_or_default().trim();
+                let size = usize::from_str_radix(digits, 16).map_err(|_| garbled())?;
                 read_body(&mut link, &mut body, size).await?;
                 let mut end = Vec::new();
                 read_body(&mut link, &mut end, 2).await?;
@@ -192,27 +185,21 @@
         }
         Ok(body)
     }
+}
 
-    async fn chunk_size(&self, link: &mut Link) -> io::Result<usize> {
-        loop {
-            if let Some(end) = line_end(link, b"\r\n") {
-                let line = String::from_utf8(link.input.take(end)).map_err(|_| garbled())?;
-                let digits = line.trim_end().split(';').next().unwrap_or_default().trim();
-                return usize::from_str_radix(digits, 16).map_err(|_| garbled());
-            }
-            if link.input.space() == 0 {
-                return Err(garbled());
-            }
-            link.read().await?;
+/// The text up to and with the first such end.
+async fn read_to<const N: usize>(link: &mut Link, end: &[u8; N]) -> io::Result<String> {
+    loop {
+        if let Some(at) = (0..link.input.len()).find(|&at| link.input.peek::<N>(at) == Some(*end)) {
+            return String::from_utf8(link.input.take(at + N)).map_err(|_| garbled());
+        }
+        if link.input.space() == 0 {
+            return Err(garbled());
         }
+        link.read().await?;
     }
 }
 
-/// Where the first such end stands, counted past it.
-fn line_end<const N: usize>(link: &Link, end: &[u8; N]) -> Option<usize> {
-    (0..link.input.len()).find(|&at| link.input.peek::<N>(at) == Some(*end)).map(|at| at + N)
-}
-
 async fn read_body(link: &mut Link, body: &mut Vec<u8>, length: usize) -> io::Result<()> {
     if length > LONGEST.saturating_sub(body.len()) {
         return Err(garbled());
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -20,9 +20,9 @@
 use leverpoint::decide::Decider;
 use leverpoint::indices::{HeldCommand, Indices, Sessions};
 use leverpoint::interface::{
-    Arrival, DispatchEnd, Effect, Ending, Input, Listed, Need, News, Phase, Tenths, Word,
+    Arrival, DispatchEnd, Effect, Effects, Ending, Input, Listed, Need, News, Phase, Tenths, Word,
 };
-use leverpoint_facts::settings::{Opened, down, up};
+use leverpoint_facts::settings::{Opened, down, span, up};
 use tokio::sync::{Notify, oneshot};
 
 use crate::counters::Counters;
@@ -56,8 +56,7 @@
     }
 
     fn instant(&self, at: Tenths) -> Instant {
-        let since = Duration::from_micros(at.max(0) as u64 * 100).saturating_sub(self.unix);
-        self.began + since
+        self.began + span(at).saturating_sub(self.unix)
     }
 }
 
@@ -221,7 +220,7 @@
 
 struct Inner {
     decider: Decider,
-    /// Ids of commands are counted; an index is what the module knows them by.
+    /// By the index that the module knows them by; those that are free stand in `free`.
     commands: Vec<Option<Running>>,
     free: Vec<usize>,
     sessions: Sessions<Box<str>>,
@@ -321,7 +320,7 @@
     /// The longest that any client waits.
     pub fn longest_timeout(&self) -> Duration {
         let longest = self.opened.facts.groups.iter().map(|g| g.timeout).max().unwrap_or(0);
-        Duration::from_micros(longest as u64 * 100)
+        span(longest)
     }
 
     /// Waits until there is a list to decide by.
@@ -332,7 +331,7 @@
     }
 
     pub fn connect_timeout(&self) -> Duration {
-        Duration::from_micros(self.opened.connect_timeout as u64 * 100)
+        span(self.opened.connect_timeout)
     }
 
     /// Takes a command that a client has sent whole.
@@ -350,7 +349,7 @@
         if write != said.write {
             return Err(("22023", format!("c: {} does not fit the statement", said.group)));
         }
-        let keyed = matches!(facts.effect, leverpoint::interface::Effects::Keyed { .. });
+        let keyed = matches!(facts.effect, Effects::Keyed { .. });
         if keyed && !said.keyed {
             return Err(("22023", format!("k: expected an idempotency key for {}", said.group)));
         }
@@ -457,11 +456,7 @@
                 running.held.over |= ending == Ending::Answered;
                 let held = running.held;
                 let word = self.word(said, held.write && ending == Ending::Answered);
-                if let (true, Some(session), Ending::Answered, Some(Word { position: Some(_), .. })) =
-                    (held.write, held.session, ending, word)
-                {
-                    inner.sessions.remembered(session);
-                }
+                inner.sessions.ended(&held, ending, word);
                 let end = DispatchEnd { cmd, nth, server, ending, took, over: held.over, word };
                 inner.decider.take(now, &Input::Ended(end), effects);
                 touched = Some(cmd);
@@ -498,7 +493,9 @@
                 self.inner.borrow_mut().timers.push(Reverse((at, key)));
                 self.timers_changed.notify_one();
             }
-            Effect::Probe { server } => self.order(Errand::Probe, server, None, self.opened.connect_timeout),
+            Effect::Probe { server } => {
+                self.order(Errand::Probe, server, None, self.opened.connect_timeout, Rc::default());
+            }
             // The protocol's pages do not say how gateways reach each other.
             Effect::Tell(_) => {}
             Effect::AskList => {
@@ -520,22 +517,23 @@
         let nth = running.dispatches;
         running.dispatches += 1;
         running.held.out += 1;
+        let called_off = Rc::new(Notify::new());
+        running.out.push((nth, called_off.clone()));
         let statement = running.statement.clone();
         drop(inner);
-        self.order(Errand::Dispatch { cmd, nth }, server, Some(statement), timeout);
+        self.order(Errand::Dispatch { cmd, nth }, server, Some(statement), timeout, called_off);
     }
 
-    fn order(self: &Rc<Self>, errand: Errand, server: usize, statement: Option<Rc<Statement>>, wait: Tenths) {
+    fn order(
+        self: &Rc<Self>,
+        errand: Errand,
+        server: usize,
+        statement: Option<Rc<Statement>>,
+        wait: Tenths,
+        called_off: Rc<Notify>,
+    ) {
         let sent = self.clock.now();
-        let called_off = Rc::new(Notify::new());
-        let mut inner = self.inner.borrow_mut();
-        if let Errand::Dispatch { cmd, nth } = errand
-            && let Some(running) = inner.commands[cmd].as_mut()
-        {
-            running.out.push((nth, called_off.clone()));
-        }
-        let address = inner.places.get(server).and_then(|p| p.address);
-        drop(inner);
+        let address = self.inner.borrow().places.get(server).and_then(|p| p.address);
         let until = self.clock.instant(sent + wait);
         let mut order = Order {
             exchange: self.clone(),
@@ -577,9 +575,7 @@
         let done = inner.commands[cmd].as_ref().is_some_and(|r| r.held.done());
         let Some(running) = inner.commands[cmd].take_if(|_| done) else { return };
         inner.free.push(cmd);
-        if let (true, Some(session)) = (running.held.write, running.held.session) {
-            inner.sessions.write_over(session);
-        }
+        inner.sessions.over(&running.held);
     }
 
     /// News of the list; the module is told it as what it is.
--- a/gateway/src/ring.rs
+++ b/gateway/src/ring.rs
@@ -210,18 +210,17 @@
         }
         self.input.reserve(SMALL);
         let (front, back) = self.input.free();
-        let read = self.stream.try_read_vectored(&mut [IoSliceMut::new(front), IoSliceMut::new(back)]);
-        match read {
-            Ok(0) => Err(ErrorKind::UnexpectedEof.into()),
-            Ok(n) => {
+        match self.stream.try_read_vectored(&mut [IoSliceMut::new(front), IoSliceMut::new(back)])? {
+            0 => Err(ErrorKind::UnexpectedEof.into()),
+            n => {
                 self.input.len += n;
                 Ok(n)
             }
-            Err(e) => Err(e),
         }
     }
 
-    /// Waits for more input; where the ring is full, for the connection's end. Safe to drop while it waits.
+    /// Waits for more input; with a full ring for as long as it is let, blind to the connection's end. Safe to
+    /// drop while it waits.
     pub async fn read(&mut self) -> io::Result<usize> {
         loop {
             if self.input.space() == 0 {
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -14,7 +14,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::counters::{Counters, add};
 use crate::exchange::Exchange;
@@ -206,26 +206,21 @@
     let stop = Rc::new(Notify::new());
     let door =
         Door { listener, descriptors, statements, leaving: leaving.clone(), exchange: exchange.clone() };
-    let mut accepting = spawn_local(door.keep(stop.clone(), log.clone()));
-    let (mut ends, mut closed) = (None, false);
-    let last = loop {
-        tokio::select! {
-            biased;
-            _ = terminate.recv() => {
-                if ends.is_none() {
-                    slog::info!(log, "ending");
-                    ends = Some(Instant::now() + TAKES_ON);
-                }
-            }
-            _ = print.recv() => slog::info!(log, "counters"; "all" => counters.line()),
-            _ = sleep_until(ends.unwrap_or_else(Instant::now)), if ends.is_some() && !closed => {
-                stop.notify_one();
-                closed = true;
-            }
-            _ = &mut accepting, if closed => break Instant::now() + exchange.longest_timeout(),
+    let accepting = spawn_local(door.keep(stop.clone(), log.clone()));
+    let (printed, printer) = (counters.clone(), log.clone());
+    spawn_local(async move {
+        while print.recv().await.is_some() {
+            slog::info!(printer, "counters"; "all" => printed.line());
         }
-    };
+    });
+    // Asked once; that it is asked again changes nothing.
+    terminate.recv().await;
+    slog::info!(log, "ending");
+    sleep(TAKES_ON).await;
+    stop.notify_one();
+    let _ = accepting.await;
     leaving.ask_all();
+    let last = Instant::now() + exchange.longest_timeout();
     while counters.clients.in_use() > 0 && Instant::now() < last {
         sleep(Duration::from_millis(5)).await;
     }
--- a/gateway/src/servers.rs
+++ b/gateway/src/servers.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use leverpoint::interface::{Ending, Tenths};
+use leverpoint_facts::settings::span;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout_at};
 
@@ -52,10 +53,6 @@
     reusable: bool,
 }
 
-fn span(tenths: Tenths) -> Duration {
-    Duration::from_micros(tenths.max(0) as u64 * 100)
-}
-
 impl Servers {
     pub fn new(
         descriptors: Rc<Descriptors>,
@@ -243,12 +240,14 @@
         let mut ending = None;
         let mut said = Spoken::default();
         loop {
-            let (tag, body, room) = match self.next(Some(memory)).await {
-                Ok(message) => message,
+            let (tag, body, room) = match (self.next(Some(memory)).await, ending) {
+                (Ok(message), _) => message,
                 // An error that ends the connection has been said whole all the same.
-                Err(_) if ending.is_some_and(|e| e != Ending::Answered) => break,
-                Err(e) if e.kind() == ErrorKind::InvalidData => return Err(order.fault(Cause::Garbled)),
-                Err(_) => return Err(order.fault(Cause::Broken)),
+                (Err(_), Some(ending)) if ending != Ending::Answered => {
+                    return Ok(Ended { ending, said, reusable: false });
+                }
+                (Err(e), _) if e.kind() == ErrorKind::InvalidData => return Err(order.fault(Cause::Garbled)),
+                (Err(_), _) => return Err(order.fault(Cause::Broken)),
             };
             match (tag, ending) {
                 (b'T' | b'D', None) if message::columns(&body) == Some(1) => {
@@ -280,7 +279,5 @@
                 _ => return Err(order.fault(Cause::Garbled)),
             }
         }
-        let ending = ending.unwrap_or(Ending::Reset);
-        Ok(Ended { ending, said, reusable: false })
     }
 }
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -58,12 +58,10 @@
     if !write && !first.eq_ignore_ascii_case("SELECT") {
         return wrong("0A000", format!("expected SELECT or INSERT, found {first:.20}"));
     }
-    let Some(open) = body.rfind("/*").filter(|_| body.ends_with("*/")) else {
+    let whole = |open: &usize| body.ends_with("*/") && body.len() >= open + 4;
+    let Some(open) = body.rfind("/*").filter(whole) else {
         return wrong("42601", "expected a comment that names the command at the statement's end");
     };
-    if body.len() < open + 4 {
-        return wrong("42601", "expected a comment that names the command at the statement's end");
-    }
     let key = quoted_key(&body[..open])?;
     comment(body, open + 2..body.len() - 2, key, write).map(Kind::Command)
 }
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -30,6 +30,13 @@
     "tenants": [{"name": "acme", "share": 1.0, "quotaPerS": 100.0}]}"#
 }
 
+/// The same with near targets, for what is waited for.
+fn near() -> String {
+    settings().replace("30000.0", "800.0")
+}
+
+const STARTUP: &[u8] = b"\0\0\0\x20\0\x03\0\0user\0svc\0database\0main\0\0";
+
 /// What a stand-in server does with a statement.
 #[derive(Clone)]
 enum Does {
@@ -229,9 +236,20 @@
     // An address of its own: a free port of a loopback address that no other test has.
     let address = TcpListener::bind(format!("127.7.{}.{}:0", std::process::id() % 250, nth + 1));
     let address = address.unwrap().local_addr().unwrap().to_string();
-    let file = std::env::temp_dir().join(format!("leverpoint-{}-{nth}.json", std::process::id()));
     let text = config(&address, &agent.address, &list(7, true, &targets), settings);
-    std::fs::write(&file, text.replace("1024", &sockets.to_string())).unwrap();
+    let gateway = start(&text.replace("1024", &sockets.to_string()), address, agent);
+    // The first ask is answered with the list that is held already; what follows is the test's.
+    gateway.agent.say.send(http(&list(7, true, &targets))).unwrap();
+    gateway.agent.asked.recv_timeout(LONG).unwrap();
+    gateway.agent.asked.recv_timeout(LONG).unwrap();
+    gateway
+}
+
+/// The program with this configuration, once it serves.
+fn start(text: &str, address: String, agent: Agent) -> Gateway {
+    let name = address.replace([':', '.'], "-");
+    let file = std::env::temp_dir().join(format!("leverpoint-{}-{name}.json", std::process::id()));
+    std::fs::write(&file, text).unwrap();
     let mut child = Command::new(env!("CARGO_BIN_EXE_leverpoint"))
         .arg("serve")
         .env("NODE_CONFIG", &file)
@@ -243,10 +261,6 @@
     thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
     let gateway = Gateway { child, address, log, agent };
     gateway.logged("event=\"serving\"");
-    // The first ask is answered with the list that is held already; what follows is the test's.
-    gateway.agent.say.send(http(&list(7, true, &targets))).unwrap();
-    gateway.agent.asked.recv_timeout(LONG).unwrap();
-    gateway.agent.asked.recv_timeout(LONG).unwrap();
     std::fs::remove_file(file).unwrap();
     gateway
 }
@@ -280,7 +294,7 @@
     fn client(&self) -> Client {
         let mut stream = TcpStream::connect(&self.address).unwrap();
         stream.set_read_timeout(Some(LONG)).unwrap();
-        stream.write_all(b"\0\0\0\x20\0\x03\0\0user\0svc\0database\0main\0\0").unwrap();
+        stream.write_all(STARTUP).unwrap();
         let mut client = Client { stream };
         client.answer();
         client
@@ -379,7 +393,7 @@
     let mut no = [0; 2];
     stream.read_exact(&mut no).unwrap();
     // The startup message and all that follows in one piece.
-    let mut bytes = b"\0\0\0\x20\0\x03\0\0user\0svc\0database\0main\0\0".to_vec();
+    let mut bytes = STARTUP.to_vec();
     for text in ["", "SET x = 1", "DISCARD ALL", &insert("report"), "RESET x", &insert("report")] {
         bytes.extend(query(text));
     }
@@ -395,8 +409,6 @@
 fn a_read_goes_on_after_each_kind_of_end() {
     let mut trace = String::new();
     let cut = row("never whole")[..40].to_vec();
-    let mut twice = row("one");
-    twice.extend(row("two"));
     let ends = [
         ("too far behind", Does::Code("72000")),
         ("full", Does::Code("53300")),
@@ -412,7 +424,7 @@
     for (name, end) in ends {
         let (primary, replica) = (server("read-write", rows("primary's")), server(name, vec![end]));
         // Near targets, as silence is waited for.
-        let near = settings().replace("30000.0", "800.0");
+        let near = near();
         let gateway = gateway_with(&[(&primary, "read-write"), (&replica, "read-only")], &near, 1024);
         trace += &format!("{name}: {} ", gateway.client().ask(&select("view")));
         let counted = gateway.end(&[
@@ -442,7 +454,7 @@
         ("turned away by its queue", server("read-write", vec![Does::Code("53300")])),
     ];
     for (name, primary) in cases {
-        let near = settings().replace("30000.0", "800.0");
+        let near = near();
         let gateway = gateway_with(&[(&primary, "read-write")], &near, 1024);
         trace += &format!("{name}: {} ", gateway.client().ask(&insert("order")));
         trace += &gateway.end(&["throttled", "failed"]);
@@ -526,7 +538,7 @@
 #[test]
 fn a_server_that_drains_or_moves_is_followed_and_a_failed_ask_leaves_the_list() {
     let (one, two) = (server("read-write", rows("one")), server("read-write", rows("two")));
-    let near = settings().replace("30000.0", "800.0").replace("60000.0", "2000.0");
+    let near = near().replace("60000.0", "2000.0");
     let gateway = gateway_with(&[(&one, "read-write")], &near, 1024);
     let mut client = gateway.client();
     let mut trace = format!("at first: {}\n", client.ask(&insert("report")));
@@ -692,15 +704,9 @@
     assert!(gateway.logged("event=\"counters\"").contains(" answered=1 "));
     gateway.child.kill().unwrap();
     gateway.child.wait().unwrap();
-    gateway.agent = agent();
-    let text = config(&gateway.address, &gateway.agent.address, "null", settings());
-    let file = std::env::temp_dir().join(format!("leverpoint-{}-again.json", std::process::id()));
-    std::fs::write(&file, text).unwrap();
-    let mut again = Command::new(env!("CARGO_BIN_EXE_leverpoint"));
-    let again = again.arg("serve").env("NODE_CONFIG", &file).stderr(Stdio::piped()).spawn().unwrap();
-    gateway.child = again;
-    let mut lines = BufReader::new(gateway.child.stderr.take().unwrap()).lines();
-    assert!(lines.any(|line| line.unwrap().contains("event=\"serving\"")));
+    let agent = agent();
+    let text = config(&gateway.address, &agent.address, "null", settings());
+    let gateway = start(&text, gateway.address.clone(), agent);
     let mut client = gateway.client();
     client.send(&query(""));
     assert!(gateway.agent.asked.recv_timeout(LONG).unwrap().starts_with("GET /api/targets HTTP"));
@@ -708,7 +714,6 @@
     gateway.agent.say.send(http(&list(7, true, &targets))).unwrap();
     assert_eq!(client.answer(), "I Z");
     assert_eq!(client.ask(&insert("report")), "T D x C Z");
-    std::fs::remove_file(file).unwrap();
 }
 
 #[test]
--- a/src/indices.rs
+++ b/src/indices.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::hash::Hash;
 
+use crate::interface::{Ending, Word};
+
 /// Ids with an index each, handed out again once let go.
 pub struct Indices<K> {
     of: HashMap<K, usize>,
@@ -78,7 +80,7 @@
         self.indices.find(&Some(id)).unwrap_or(0)
     }
 
-    /// The index of a session that writes; kept until `write_over` is said of it.
+    /// The index of a session that writes; kept until `over` is said of the command.
     pub fn writes(&mut self, id: K) -> usize {
         let index = self.indices.index(&Some(id));
         if self.held.len() <= index {
@@ -88,15 +90,21 @@
         index
     }
 
-    /// A write was answered with its position.
-    pub fn remembered(&mut self, index: usize) {
-        self.held[index].remembered = true;
+    /// A dispatch has ended; the module remembers the position that a write was answered with.
+    pub fn ended(&mut self, command: &HeldCommand, ending: Ending, word: Option<Word>) {
+        if let (true, Some(session), Ending::Answered, Some(Word { position: Some(_), .. })) =
+            (command.write, command.session, ending, word)
+        {
+            self.held[session].remembered = true;
+        }
     }
 
-    /// Nothing of a write is out any more.
-    pub fn write_over(&mut self, index: usize) {
-        self.held[index].writes -= 1;
-        self.release(index);
+    /// A command is done with.
+    pub fn over(&mut self, command: &HeldCommand) {
+        if let (true, Some(session)) = (command.write, command.session) {
+            self.held[session].writes -= 1;
+            self.release(session);
+        }
     }
 
     /// The module has let go of what it remembered.
