SIGHUP reads the configuration again; a primary that a whole list lacks is unknown

Changed: signals are installed before all else; facts/node.rs reads the file again, where the file's keys go before the environment, which is as old as the program; discovery.rs drops whatever it waits for at the old address and asks the new one for the whole list. What else has changed is logged by key as needing a restart. A faulty file: one line with its key.

The new test found one more: after a whole list without the set's primary the module went on naming it (decide.rs, listed: it looked at listed servers only), so that writes waited in vain. Ruled out: the watch, the agent. The primary is now dropped for any server that is no longer live. Three rows of the table that differed in nothing from others are folded.

--- a/facts/src/node.rs
+++ b/facts/src/node.rs
@@ -15,6 +15,10 @@
 }
 
 pub struct Node {
+    /// The configuration's path.
+    pub file: String,
+    /// The configuration itself, to tell what another reading of it has changed.
+    document: Value,
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -24,28 +28,58 @@
     pub opened: Opened,
 }
 
-/// Reads the environment that `var` looks up, and the file that it names.
+/// Keys that hold for a start alone: what a later reading says there changes nothing.
+const ONLY_AT_START: [&str; 2] = ["known", "seed"];
+
+impl Node {
+    /// Keys of the file that another reading has found changed, whatever they are.
+    pub fn changed(&self, again: &Node) -> Vec<String> {
+        let mut out = Vec::new();
+        compare(&mut out, "", &self.document, &again.document);
+        out
+    }
+}
+
+fn compare(out: &mut Vec<String>, path: &str, one: &Value, two: &Value) {
+    let (Some(a), Some(b)) = (one.as_object(), two.as_object()) else {
+        if one != two {
+            out.push(path.to_owned());
+        }
+        return;
+    };
+    let added = b.keys().filter(|name| !a.contains_key(*name));
+    for name in a.keys().chain(added).filter(|n| !path.is_empty() || !ONLY_AT_START.contains(&n.as_str())) {
+        let dot = if path.is_empty() { "" } else { "." };
+        let of = |map: &serde_json::Map<String, Value>| map.get(name).cloned().unwrap_or_default();
+        compare(out, &format!("{path}{dot}{name}"), &of(a), &of(b));
+    }
+}
+
+/// Reads the environment that `var` looks up, and the file that it names. A variable that is set goes before
+/// the key of the file that says the same.
 pub fn from_environment(var: impl Fn(&str) -> Option<String>) -> Result<Node, Fault> {
     let path = var("NODE_CONFIG")
         .ok_or_else(|| Fault::new("NODE_CONFIG: expected the path of a configuration, but it is not set"))?;
-    from_file(&path, var)
+    from_file(&path, |name, _| var(name))
 }
 
-pub fn from_file(path: &str, var: impl Fn(&str) -> Option<String>) -> Result<Node, Fault> {
-    let text = std::fs::read(path)
-        .map_err(|e| Fault::new(format!("NODE_CONFIG: expected a readable file, but {path}: {e}")))?;
-    read(&text, var)
+/// Reads the file once more. The environment is as old as the program, so now the file's keys go first.
+pub fn again(path: &str, var: impl Fn(&str) -> Option<String>) -> Result<Node, Fault> {
+    from_file(path, |name, key| if key.value().is_some() { None } else { var(name) })
 }
 
-/// A variable that is set goes before the key of the file that says the same.
-fn read(text: &[u8], var: impl Fn(&str) -> Option<String>) -> Result<Node, Fault> {
-    let value: Value = serde_json::from_slice(text)
+/// Reads a file as it stands; `var` looks up the variable beside a key.
+pub fn from_file(path: &str, var: impl Fn(&str, &Key<'_>) -> Option<String>) -> Result<Node, Fault> {
+    let text = std::fs::read(path)
+        .map_err(|e| Fault::new(format!("NODE_CONFIG: expected a readable file, but {path}: {e}")))?;
+    let mut document: Value = serde_json::from_slice(&text)
         .map_err(|e| Fault::new(format!("NODE_CONFIG: expected a file of JSON, but {e}")))?;
-    let top = Key::root(&value);
+    let known = document.get_mut("known").map(Value::take).filter(|known| !known.is_null());
+    let top = Key::root(&document);
     let address = |name: &str, variable: &str| {
         let expected = "an address like 127.0.0.1:6432";
-        let Some(text) = var(variable) else {
-            let key = top.get(name);
+        let key = top.get(name);
+        let Some(text) = var(variable, &key) else {
             return key.text()?.parse::<SocketAddr>().map_err(|_| key.wrong(expected));
         };
         text.parse().map_err(|_| Fault::new(format!("{variable}: expected {expected}, found {text:?}")))
@@ -55,7 +89,8 @@
         u64::from_str_radix(seed.text()?, 16).map_err(|_| seed.wrong("up to sixteen hexadecimal digits"))?;
     let limits = top.get("limits");
     Ok(Node {
-        name: match var("NODE_NAME") {
+        file: path.to_owned(),
+        name: match var("NODE_NAME", &top.get("name")) {
             Some(name) => name,
             None => top.get("name").text()?.to_owned(),
         },
@@ -66,7 +101,8 @@
             memory_bytes: limits.get("memory_mb").or(192, |k| k.whole(1, 1 << 20))? << 20,
             sockets: limits.get("sockets").or(1024, |k| k.whole(20, 1 << 20))?,
         },
-        known: top.get("known").value().cloned(),
+        known,
         opened: settings::read_value(hex, &top.get("settings"))?,
+        document,
     })
 }
--- a/facts/src/settings.rs
+++ b/facts/src/settings.rs
@@ -10,6 +10,7 @@
 use crate::key::{Fault, Key};
 
 /// The facts for the module and what the protocols need.
+#[derive(Clone)]
 pub struct Opened {
     pub facts: Facts,
     /// Clock time from which positions are reckoned on the bench's wire.
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -3,6 +3,7 @@
 //! It tells the exchange what it was told, as what it is. A failed ask leaves the list as it was; nothing
 //! here judges a list or keeps one.
 
+use std::cell::Cell;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,6 +11,7 @@
 
 use leverpoint::interface::{News, Phase};
 use serde_json::Value;
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 use crate::counters::add;
@@ -56,8 +58,39 @@
     })
 }
 
-/// Follows the list for as long as the gateway runs.
-pub async fn follow(agent: SocketAddr, exchange: Rc<Exchange>, log: slog::Logger) {
+/// Where the agent is reached; another configuration may name another address.
+pub struct Whereabouts {
+    address: Cell<SocketAddr>,
+    moved: Notify,
+}
+
+impl Whereabouts {
+    pub fn new(address: SocketAddr) -> Rc<Self> {
+        Rc::new(Whereabouts { address: Cell::new(address), moved: Notify::new() })
+    }
+
+    /// Holds at once; whether it is another than before.
+    pub fn move_to(&self, address: SocketAddr) -> bool {
+        let moved = self.address.replace(address) != address;
+        if moved {
+            self.moved.notify_one();
+        }
+        moved
+    }
+}
+
+/// Follows the list for as long as the gateway runs. An agent elsewhere is asked for the whole list at once,
+/// whatever was being waited for; until it has answered the list stands as it is.
+pub async fn follow(agent: Rc<Whereabouts>, exchange: Rc<Exchange>, log: slog::Logger) {
+    loop {
+        tokio::select! {
+            _ = follow_at(agent.address.get(), &exchange, &log) => {}
+            _ = agent.moved.notified() => exchange.ask_once.set(true),
+        }
+    }
+}
+
+async fn follow_at(agent: SocketAddr, exchange: &Rc<Exchange>, log: &slog::Logger) {
     let mut agent = Agent { address: agent, link: None };
     let mut held: Option<u64> = None;
     let mut failing = false;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -47,7 +47,7 @@
             println!("leverpoint {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Asked::Check(file) => node::from_file(&file, |_| None).map(|node| print!("{}", comes_to(&node))),
+        Asked::Check(file) => node::from_file(&file, |_, _| None).map(|node| print!("{}", comes_to(&node))),
         Asked::Serve => match node::from_environment(|name| std::env::var(name).ok()) {
             Ok(node) => {
                 let log = Logger::root(Lines.fuse(), o!());
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use leverpoint::interface::News;
-use leverpoint_facts::node::Node;
+use leverpoint_facts::node::{self, Node};
 use socket2::{Domain, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{SignalKind, signal};
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::counters::{Counters, add};
+use crate::discovery::Whereabouts;
 use crate::exchange::Exchange;
 use crate::message::LONGEST;
 use crate::ring::{BASE, Memory};
@@ -179,6 +180,10 @@
 }
 
 async fn serve(node: Node, log: slog::Logger) -> io::Result<()> {
+    // Before all else: from here on none of them ends the program by itself.
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let mut print = signal(SignalKind::user_defined1())?;
     let counters = Rc::new(Counters::new(&node.opened.groups));
     let leaving = Rc::new(Leaving::default());
     let descriptors = Descriptors::new(node.limits.sockets, leaving.clone());
@@ -191,17 +196,16 @@
     let servers =
         Servers::new(descriptors.clone(), Memory::new(third), counters.clone(), connect_timeout, idle_close);
     let listener = listen(&node)?;
-    let exchange = Exchange::new(node.opened, counters.clone(), log.clone());
+    let exchange = Exchange::new(node.opened.clone(), counters.clone(), log.clone());
     exchange.set_carrier(Rc::new(servers.clone()));
     if let Some(known) = node.known.as_ref().and_then(discovery::told) {
         exchange.list(News::Remembered, &known.entries);
     }
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut print = signal(SignalKind::user_defined1())?;
     slog::info!(log, "serving"; "name" => &node.name, "listen" => node.listen.to_string());
     spawn_local(exchange.clone().keep_time());
     spawn_local(servers.tidy());
-    spawn_local(discovery::follow(node.discovery, exchange.clone(), log.clone()));
+    let agent = Whereabouts::new(node.discovery);
+    spawn_local(discovery::follow(agent.clone(), exchange.clone(), log.clone()));
 
     let stop = Rc::new(Notify::new());
     let door =
@@ -213,6 +217,12 @@
             slog::info!(printer, "counters"; "all" => printed.line());
         }
     });
+    let reloads = log.clone();
+    spawn_local(async move {
+        while reload.recv().await.is_some() {
+            reread(&node, &agent, &reloads);
+        }
+    });
     // Asked once; that it is asked again changes nothing.
     terminate.recv().await;
     slog::info!(log, "ending");
@@ -229,6 +239,20 @@
     Ok(())
 }
 
+/// Another reading of the configuration: discovery's address holds at once, all else needs a restart, and a
+/// faulty file changes nothing.
+fn reread(node: &Node, agent: &Whereabouts, log: &slog::Logger) {
+    let again = match node::again(&node.file, |name| std::env::var(name).ok()) {
+        Ok(again) => again,
+        Err(fault) => return slog::error!(log, "configuration not taken"; "why" => fault.to_string()),
+    };
+    let mut waiting = node.changed(&again);
+    waiting.retain(|key| key != "discovery");
+    let moved = agent.move_to(again.discovery);
+    slog::info!(log, "configuration read again"; "discovery" => again.discovery.to_string(),
+        "moved" => moved, "needs_restart" => waiting.join(" "));
+}
+
 /// Takes on the clients that come.
 struct Door {
     listener: TcpListener,
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -206,6 +206,7 @@
 
 struct Gateway {
     child: Child,
+    file: std::path::PathBuf,
     address: String,
     log: Receiver<String>,
     agent: Agent,
@@ -253,15 +254,15 @@
     let mut child = Command::new(env!("CARGO_BIN_EXE_leverpoint"))
         .arg("serve")
         .env("NODE_CONFIG", &file)
+        .env("NODE_DISCOVERY", &agent.address)
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
     let (tell, log) = mpsc::channel();
     let stderr = BufReader::new(child.stderr.take().unwrap());
     thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
-    let gateway = Gateway { child, address, log, agent };
+    let gateway = Gateway { child, file, address, log, agent };
     gateway.logged("event=\"serving\"");
-    std::fs::remove_file(file).unwrap();
     gateway
 }
 
@@ -305,6 +306,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
     }
 }
 
@@ -585,6 +587,36 @@
     assert_eq!(gateway.client().ask(&insert("report")), "T D two C Z");
 }
 
+#[test]
+fn another_configuration_holds_at_once_and_a_faulty_one_changes_nothing() {
+    let (one, two) = (server("read-write", rows("one")), server("read-write", rows("two")));
+    let gateway = gateway(&[(&one, "read-write")]);
+    let mut client = gateway.client();
+    let mut trace = format!("at first: {}\n", client.ask(&insert("report")));
+    let elsewhere = agent();
+    // No list of its own: what is held goes on deciding. The environment still names the old address.
+    let fine = config(&gateway.address, &elsewhere.address, "null", settings());
+    let mut reload = |name: &str, text: &str, event: &str| {
+        std::fs::write(&gateway.file, text).unwrap();
+        gateway.signal("-HUP");
+        let line = gateway.logged(event);
+        let told = line.split_once("event=").unwrap().1.replace(&gateway.file.display().to_string(), "FILE");
+        let told = told.replace(&elsewhere.address, "ELSEWHERE");
+        trace += &format!("{name}: {told}; {}\n", client.ask(&insert("report")));
+    };
+    reload("half written", &fine[..fine.len() / 2], "not taken");
+    reload("a bad key", &fine.replace("\"coldMs\": 9000.0", "\"coldMs\": -1"), "not taken");
+    reload("elsewhere", &fine, "read again");
+    let changed = fine.replace("192", "64").replace("\"worth\": 1.0,", "\"worth\": 2.0,");
+    reload("limits too", &changed, "read again");
+    // The watch on the old address is dropped, the whole list asked for and taken, though its number is lower.
+    assert!(elsewhere.asked.recv_timeout(LONG).unwrap().starts_with("GET /api/targets HTTP"));
+    elsewhere.say.send(http(&list(2, true, &[target("s9", &two.address, "up", "read-write")]))).unwrap();
+    assert!(elsewhere.asked.recv_timeout(LONG).unwrap().starts_with("GET /api/targets?index=2&"));
+    trace += &format!("its list: {}\n", client.ask(&insert("report")));
+    insta::assert_snapshot!(trace);
+}
+
 #[test]
 fn a_row_without_what_comes_behind_it_is_an_answer() {
     let primary = server("read-write", vec![Does::Bytes(row("all there is")), Does::Row("more".into())]);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -37,8 +37,7 @@
     NoRoom,
     Hopeless,
     Answered,
-    NeverRan,
-    Unclear,
+    InVain,
     HungUp,
 }
 
@@ -53,7 +52,7 @@
 }
 
 /// State, what is seen, next state, what is done. What is done may itself be seen and read again.
-const TABLE: [(State, Seen, State, Act); 13] = [
+const TABLE: [(State, Seen, State, Act); 11] = [
     (State::New, Seen::Arrived, State::Lined, Act::JoinFirst),
     (State::Lined, Seen::Turn, State::Lined, Act::Place),
     (State::Held, Seen::Turn, State::Lined, Act::Place),
@@ -61,12 +60,10 @@
     (State::Lined, Seen::NoRoom, State::Held, Act::Hold),
     (State::Lined, Seen::Hopeless, State::Over, Act::GiveUp),
     (State::Out, Seen::Answered, State::Over, Act::Rest),
-    (State::Out, Seen::NeverRan, State::Lined, Act::JoinFurther),
-    (State::Out, Seen::Unclear, State::Lined, Act::JoinFurther),
+    (State::Out, Seen::InVain, State::Lined, Act::JoinFurther),
     (State::Lined, Seen::HungUp, State::Over, Act::Rest),
     (State::Held, Seen::HungUp, State::Over, Act::Rest),
     (State::Out, Seen::HungUp, State::Over, Act::Rest),
-    (State::Over, Seen::HungUp, State::Over, Act::Rest),
 ];
 
 /// Few coarse bins, each half as wide again as the one before; halved now and then.
@@ -400,8 +397,7 @@
             _ if e.over => Seen::HungUp,
             Ending::Answered => Seen::Answered,
             _ if still_out => return,
-            ending if ending.never_ran() => Seen::NeverRan,
-            _ => Seen::Unclear,
+            _ => Seen::InVain,
         };
         self.step(e.cmd, seen, out);
         self.forget(out);
@@ -545,6 +541,10 @@
             self.servers.iter_mut().for_each(|s| s.phase = Phase::Gone);
         }
         entries.iter().for_each(|e| self.listed(e, out));
+        // Also one that a whole list no longer has: while it is named no other would be asked.
+        for set in 0..self.sets.len() {
+            self.sets[set].primary = self.sets[set].primary.filter(|&p| self.live(p).is_some());
+        }
         self.weigh();
         self.recall();
     }
@@ -587,9 +587,6 @@
             set.primary = Some(e.server);
             out.push(Effect::Log(format!("set {}: list names primary {}", s.set, e.server)));
         }
-        if set.primary == Some(e.server) && self.live(e.server).is_none() {
-            self.sets[self.servers[e.server].set].primary = None;
-        }
     }
 
     /// A list that comes only when asked for is followed, and asked for again after a failure.
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -39,6 +39,16 @@
     assert_snapshot!(b.trace());
 }
 
+#[test]
+fn a_primary_that_a_whole_list_no_longer_has_is_unknown() {
+    let mut b = Bench::with_set(facts());
+    b.arrive(0, 4, Some(9));
+    b.end(0, 0, Ending::Answered, Some((true, 0)));
+    b.list(News::Whole, &[line(1, Phase::Ready, false, 0), line(2, Phase::Ready, false, 0)]);
+    b.arrive(1, 4, Some(9));
+    assert_snapshot!(b.trace());
+}
+
 #[test]
 fn a_keyed_write_goes_again_only_inside_its_window() {
     let mut b = Bench::with_set(facts());
