An answer is checked whole before it goes on; a connection with more behind it is not used again

Checked: servers.rs (answer) read the column count alone and let a connection go on with whatever stood in its ring behind ReadyForQuery. Ruled out: copies that arrive between the check and the next statement; a read right after the statement's last byte guards them all the same.

Changed: description, value and completion must each be whole, of one column, one row and fit the statement; ReadyForQuery with anything behind it ends the connection; a position of the future or that is no number is no word while its row counts.

--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -64,6 +64,7 @@
 pub struct Statement {
     pub text: Box<[u8]>,
     pub wait_at: Range<usize>,
+    pub write: bool,
 }
 
 /// The messages of a row, as the server gave them, and the room that they take.
@@ -364,7 +365,11 @@
         let (answer, receiver) = oneshot::channel();
         let running = Running {
             held: HeldCommand { write, session, ..HeldCommand::default() },
-            statement: Rc::new(Statement { text: text.as_bytes().into(), wait_at: said.wait_at.clone() }),
+            statement: Rc::new(Statement {
+                text: text.as_bytes().into(),
+                wait_at: said.wait_at.clone(),
+                write,
+            }),
             answer: Some(answer),
             dispatches: 0,
             out: Vec::new(),
@@ -465,10 +470,15 @@
         touched
     }
 
+    /// What a server has said of itself, as far as it can be true.
     fn word(&self, said: Option<Spoken>, commit: bool) -> Option<Word> {
         let said = said?;
         let rounded = if commit { up } else { down };
-        Some(Word { primary: said.primary?, position: said.position.map(rounded) })
+        // One clock is read by all machines, so a position lies in the past; a minute is more than any clock
+        // is off.
+        let latest = self.clock.now() + up(60_000.0);
+        let position = said.position.map(rounded).filter(|at| (0..=latest).contains(at));
+        Some(Word { primary: said.primary?, position })
     }
 
     fn carry_out(self: &Rc<Self>, effect: Effect) {
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -4,7 +4,8 @@
 
 use crate::ring::Ring;
 
-/// A value of 64 KiB as hex text is twice that; the rest of a statement or an answer is far below 8 KiB.
+const LONGEST_VALUE: usize = 64 << 10;
+/// A value as hex text is twice that; the rest of a statement or an answer is far below 8 KiB.
 pub const LONGEST: usize = (128 + 8) << 10;
 /// Startup packets are short; PostgreSQL itself takes up to 10,000 bytes.
 const LONGEST_STARTUP: usize = 10_000;
@@ -125,7 +126,22 @@
     Some((words.next()?, words.next()?))
 }
 
-/// The number of columns that a RowDescription or a DataRow begins with.
-pub fn columns(body: &[u8]) -> Option<u16> {
-    Some(u16::from_be_bytes([*body.first()?, *body.get(1)?]))
+/// Whether a RowDescription is of one column, whole and with nothing behind it.
+pub fn describes_one(body: &[u8]) -> bool {
+    // A name ended by a zero byte, then eighteen bytes of numbers.
+    let name_and_rest = body.strip_prefix(&[0, 1]).unwrap_or_default();
+    name_and_rest.iter().position(|b| *b == 0).is_some_and(|end| name_and_rest.len() == end + 1 + 18)
+}
+
+/// Whether a DataRow is of one value whose length is that of what is there.
+pub fn holds_one(body: &[u8]) -> bool {
+    let value = body.strip_prefix(&[0, 1]).and_then(<[u8]>::split_first_chunk::<4>);
+    value.is_some_and(|(length, value)| {
+        value.len() <= LONGEST_VALUE && u32::from_be_bytes(*length) as usize == value.len()
+    })
+}
+
+/// Whether a CommandComplete is that of one row read or written.
+pub fn completes(body: &[u8], write: bool) -> bool {
+    body == if write { &b"INSERT 0 1\0"[..] } else { b"SELECT 1\0" }
 }
--- a/gateway/src/servers.rs
+++ b/gateway/src/servers.rs
@@ -123,6 +123,11 @@
             order.reached.set(Reached::NotWritten);
             let mut wrote = 0;
             match connection.link.write(&parts, &mut wrote).await {
+                // What is there this soon was sent before the statement came, so it is no answer to it.
+                Ok(()) if reused && !connection.quiet() => {
+                    order.reached.set(Reached::Written);
+                    return Err(order.fault(Cause::Garbled));
+                }
                 Ok(()) => return Ok(connection),
                 Err(_) if reused && wrote == 0 => {}
                 Err(_) => return Err(order.fault(Cause::Broken)),
@@ -198,7 +203,7 @@
         connection.link.write(&[&message::hello()], &mut 0).await?;
         loop {
             match connection.next(None).await? {
-                (b'Z', ..) => return Ok(connection),
+                (b'Z', ..) if connection.link.input.is_empty() => return Ok(connection),
                 (b'E', body, _) if message::code(&body) == Some(b"53300") => {
                     return Err(ErrorKind::QuotaExceeded.into());
                 }
@@ -237,6 +242,7 @@
     async fn answer(&mut self, order: &Order, memory: &Rc<Memory>) -> Result<Ended, Fault> {
         let mut row = Row::default();
         let mut rows = 0;
+        let writes = order.statement.as_ref().is_some_and(|statement| statement.write);
         let mut ending = None;
         let mut said = Spoken::default();
         loop {
@@ -250,17 +256,17 @@
                 (Err(_), _) => return Err(order.fault(Cause::Broken)),
             };
             match (tag, ending) {
-                (b'T' | b'D', None) if message::columns(&body) == Some(1) => {
+                // Whole or not at all: nothing of an answer that has a flaw anywhere goes on.
+                (b'T', None) if row.messages.is_empty() && message::describes_one(&body) => {
                     order.reached.set(Reached::Answering);
-                    let described = !row.messages.is_empty();
-                    rows += u32::from(tag == b'D');
-                    if described != (tag == b'D') || rows > 1 {
-                        return Err(order.fault(Cause::Garbled));
-                    }
+                    message::put(&mut row.messages, tag, &[&body]);
+                }
+                (b'D', None) if rows == 0 && !row.messages.is_empty() && message::holds_one(&body) => {
+                    rows = 1;
                     message::put(&mut row.messages, tag, &[&body]);
                     row.rooms.extend(room);
                 }
-                (b'C', None) if rows == 1 => {
+                (b'C', None) if rows == 1 && message::completes(&body, writes) => {
                     message::put(&mut row.messages, tag, &[&body]);
                     order.deliver(std::mem::take(&mut row));
                     ending = Some(Ending::Answered);
@@ -275,7 +281,10 @@
                 }
                 (b'S', _) => said.hear(message::parameter(&body)),
                 (b'N', _) => {}
-                (b'Z', Some(ending)) => return Ok(Ended { ending, said, reusable: true }),
+                (b'Z', Some(ending)) if body == b"I" => {
+                    // What stands behind it already belongs to no statement.
+                    return Ok(Ended { ending, said, reusable: self.link.input.is_empty() });
+                }
                 _ => return Err(order.fault(Cause::Garbled)),
             }
         }
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -42,6 +42,8 @@
 enum Does {
     /// Answers with a row of this value, then says its role and position.
     Row(String),
+    /// The same with these bytes right behind it.
+    More(String, Vec<u8>),
     Code(&'static str),
     /// Says nothing more until the other side closes; then tells the test so.
     Silence,
@@ -63,15 +65,18 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
 }
 
-fn row(value: &str) -> Vec<u8> {
+fn row(value: &str, done: &str) -> Vec<u8> {
     let mut out = Vec::new();
     put(&mut out, b'T', b"\0\x01v\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01");
     let body = [&b"\0\x01"[..], &(value.len() as u32).to_be_bytes(), value.as_bytes()].concat();
     put(&mut out, b'D', &body);
-    put(&mut out, b'C', b"SELECT 1\0");
+    put(&mut out, b'C', format!("{done}\0").as_bytes());
     out
 }
 
+const READ: &str = "SELECT 1";
+const WRITTEN: &str = "INSERT 0 1";
+
 fn message(stream: &mut impl Read) -> Option<(u8, Vec<u8>)> {
     let mut head = [0; 5];
     if let Err(e) = stream.read_exact(&mut head) {
@@ -128,9 +133,11 @@
             let mut does = does.lock().unwrap();
             if does.len() > 1 { does.pop_front()? } else { does.front()?.clone() }
         };
-        let mut out = Vec::new();
+        let (mut out, mut more) = (Vec::new(), Vec::new());
+        let done = if body.starts_with(b"INSERT") { WRITTEN } else { READ };
         match next {
-            Does::Row(value) => out = row(&value),
+            Does::Row(value) => out = row(&value, done),
+            Does::More(value, bytes) => (out, more) = (row(&value, done), bytes),
             Does::Code(code) => put(&mut out, b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes()),
             Does::Silence => {
                 let _ = stream.read(&mut [0; 1]);
@@ -140,13 +147,14 @@
             Does::Bytes(bytes) => return stream.write_all(&bytes).ok(),
             Does::Wait(word, value) => {
                 word.lock().unwrap().recv().ok()?;
-                out = row(&value);
+                out = row(&value, done);
             }
         }
         // Role and position come behind the row, one at a time.
         put(&mut out, b'S', format!("mode\0{mode}\0").as_bytes());
         put(&mut out, b'S', format!("wal_time\0{}\0", unix_ms()).as_bytes());
         put(&mut out, b'Z', b"I");
+        out.extend(more);
         stream.write_all(&out).ok()?;
     }
 }
@@ -410,7 +418,14 @@
 #[test]
 fn a_read_goes_on_after_each_kind_of_end() {
     let mut trace = String::new();
-    let cut = row("never whole")[..40].to_vec();
+    let whole = row("spoilt", READ);
+    let cut = whole[..40].to_vec();
+    let spoilt = |at: usize, byte: u8| {
+        let mut bytes = whole.clone();
+        bytes[at] = byte;
+        Does::Bytes(bytes)
+    };
+    let (description, value) = (whole[4] as usize + 1, whole.len() - "spoilt".len() - 14);
     let ends = [
         ("too far behind", Does::Code("72000")),
         ("full", Does::Code("53300")),
@@ -421,6 +436,14 @@
         ("garbage", Does::Bytes(b"no such protocol at all".to_vec())),
         ("an oversized answer", Does::Bytes(b"D\x7f\0\0\0".to_vec())),
         ("a completion without a row", Does::Bytes(b"C\0\0\0\x0dSELECT 1\0".to_vec())),
+        ("a value shorter than it says", spoilt(value - 1, 200)),
+        ("a value longer than it says", spoilt(value - 1, 2)),
+        ("a value of less than nothing", spoilt(value - 4, 255)),
+        ("two columns", spoilt(6, 2)),
+        ("a description of more", spoilt(8, b'v')),
+        ("two rows", Does::Bytes([&whole[..value + 6], &whole[description..]].concat())),
+        ("a write's completion", Does::Bytes(row("spoilt", WRITTEN))),
+        ("a completion of two", Does::Bytes(row("spoilt", "SELECT 2"))),
         ("silence", Does::Silence),
     ];
     for (name, end) in ends {
@@ -442,6 +465,26 @@
     insta::assert_snapshot!(trace);
 }
 
+#[test]
+fn what_comes_behind_an_answer_belongs_to_no_other_command() {
+    let behind =
+        [row("one", WRITTEN), b"noise".to_vec(), vec![b'x'; 40 << 10], b"S\0\0\0\x08st\0\xff".to_vec()];
+    let mut does: Vec<_> = behind.into_iter().map(|more| Does::More("one".into(), more)).collect();
+    // Its own words are no role and no position: the row counts all the same.
+    let wrong: [&[u8]; 3] = [b"mode\0read-\xff\0", b"wal_time\x001e300\0", b"stats\0inflight=\0"];
+    let mut odd = row("two", WRITTEN);
+    wrong.iter().for_each(|word| put(&mut odd, b'S', word));
+    put(&mut odd, b'Z', b"I");
+    does.extend([Does::Bytes(odd), Does::Row("three".into())]);
+    let primary = server("read-write", does);
+    let gateway = gateway(&[(&primary, "read-write")]);
+    let mut client = gateway.client();
+    let mut trace = String::new();
+    (0..6).for_each(|_| trace += &format!("{}\n", client.ask(&insert("order"))));
+    trace += &gateway.end(&["answered", "ended.Answered", "ended.Reset", "servers.opened"]);
+    insta::assert_snapshot!(trace);
+}
+
 #[test]
 fn a_mutating_command_that_may_have_run_fails_and_one_that_never_ran_is_throttled() {
     let mut trace = String::new();
@@ -619,7 +662,8 @@
 
 #[test]
 fn a_row_without_what_comes_behind_it_is_an_answer() {
-    let primary = server("read-write", vec![Does::Bytes(row("all there is")), Does::Row("more".into())]);
+    let primary =
+        server("read-write", vec![Does::Bytes(row("all there is", WRITTEN)), Does::Row("more".into())]);
     let gateway = gateway(&[(&primary, "read-write")]);
     let mut client = gateway.client();
     let mut trace = format!("{}\n", client.ask(&insert("order")));
