Servers gone for half a minute are forgotten, their indices begin anew

Changed: the module lets go of a server that is gone, has nothing out and was last heard half a minute ago, as long as it keeps tokens (decide.rs, forget_gone), and says so by ForgetServer; exchange, idle connections and the drill free the index with it. It happens at the end of an input, so that a list that names the server again has been read by then. Sizes of all tables are printed with SIGUSR1.

--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -251,6 +251,7 @@
                 Effect::AskList => reply.list_all(),
                 Effect::FollowList(on) => reply.tail(on),
                 Effect::ForgetSession(session) => self.sessions.forgotten(session),
+                Effect::ForgetServer(server) => self.servers.let_go(server),
                 Effect::Log(text) => reply.log(&text),
             }
         }
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -204,7 +204,7 @@
             Err((code, why)) => return self.refuse(code, &why, true).await,
         };
         drop(body);
-        let until = ticket.until.into();
+        let until = ticket.until;
         tokio::pin!(ticket);
         let answer = loop {
             tokio::select! {
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -15,7 +15,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use leverpoint::decide::Decider;
 use leverpoint::indices::{HeldCommand, Indices, Sessions};
@@ -24,6 +24,7 @@
 };
 use leverpoint_facts::settings::{Opened, down, span, up};
 use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
 
 use crate::counters::Counters;
 use crate::fault::{Cause, Fault, Reached};
@@ -234,8 +235,10 @@
     timers: BinaryHeap<Reverse<(Tenths, u32)>>,
 }
 
+/// What is held of a server beside the module.
 #[derive(Clone, Default)]
 struct Place {
+    known: bool,
     address: Option<SocketAddr>,
     started_ms: f64,
 }
@@ -525,6 +528,13 @@
                 self.list_wanted.notify_one();
             }
             Effect::ForgetSession(session) => self.inner.borrow_mut().sessions.forgotten(session),
+            Effect::ForgetServer(server) => {
+                let mut inner = self.inner.borrow_mut();
+                inner.servers.let_go(server);
+                inner.places[server] = Place::default();
+                drop(inner);
+                self.carrier.borrow().iter().for_each(|carrier| carrier.let_go(server));
+            }
             Effect::Log(text) => slog::info!(self.log, "module"; "says" => text),
         }
     }
@@ -621,16 +631,18 @@
         let server = inner.servers.index(&entry.uid);
         if inner.places.len() <= server {
             inner.places.resize(server + 1, Place::default());
+        }
+        let place = &mut inner.places[server];
+        if !std::mem::replace(&mut place.known, true) {
             // The module's lines name servers by this number.
             slog::info!(self.log, "server"; "number" => server, "uid" => &entry.uid, "set" => entry.set);
         }
-        let place = &mut inner.places[server];
         let address = entry.endpoint.or(place.address);
         let moved = place.address.is_some() && place.address != address;
         if moved || entry.started_ms > place.started_ms || entry.phase != Phase::Ready {
             left.push(server);
         }
-        *place = Place { address, started_ms: entry.started_ms };
+        (place.address, place.started_ms) = (address, entry.started_ms);
         let zones = &self.opened.zones;
         Listed {
             server,
@@ -643,6 +655,19 @@
         }
     }
 
+    /// How much each table holds; flat over a day of ever new ids.
+    pub fn tables(&self) -> [(&'static str, usize); 6] {
+        let inner = self.inner.borrow();
+        [
+            ("servers", inner.servers.count()),
+            ("places", inner.places.len()),
+            ("sessions", inner.sessions.count()),
+            ("commands", inner.commands.len()),
+            ("open_ids", inner.open.len()),
+            ("timers", inner.timers.len()),
+        ]
+    }
+
     /// Commands that have no final answer yet.
     pub fn open(&self) -> usize {
         self.inner.borrow().commands.iter().flatten().filter(|r| !r.held.over).count()
@@ -656,7 +681,7 @@
                 self.timers_changed.notified().await;
                 continue;
             };
-            let until = self.clock.instant(at).into();
+            let until = self.clock.instant(at);
             tokio::select! {
                 _ = tokio::time::sleep_until(until) => {}
                 _ = self.timers_changed.notified() => {}
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -248,10 +248,11 @@
     let door =
         Door { listener, descriptors, statements, leaving: leaving.clone(), exchange: exchange.clone() };
     let accepting = spawn_local(door.keep(stop.clone(), log.clone()));
-    let (printed, printer) = (counters.clone(), log.clone());
+    let (printed, printer, tables) = (counters.clone(), log.clone(), exchange.clone());
     spawn_local(async move {
         while print.recv().await.is_some() {
             slog::info!(printer, "counters"; "all" => printed.line());
+            slog::info!(printer, "tables"; "hold" => format!("{:?}", tables.tables()));
         }
     });
     let reloads = log.clone();
--- a/gateway/src/servers.rs
+++ b/gateway/src/servers.rs
@@ -77,7 +77,7 @@
         let ended = tokio::select! {
             biased;
             ended = self.attempt(&order) => ended,
-            _ = sleep_until(order.until.into()) => Err(order.fault(Cause::TimedOut)),
+            _ = sleep_until(order.until) => Err(order.fault(Cause::TimedOut)),
             _ = order.called_off.notified() => Err(order.fault(Cause::CalledOff)),
         };
         match ended {
--- /dev/null
+++ b/gateway/tests/tables.rs
@@ -0,0 +1,106 @@
+//! The exchange on a long day of ever new ids, in time that only passes when nothing else is to be done.
+
+#![allow(dead_code)]
+
+#[path = "../src/counters.rs"]
+mod counters;
+#[path = "../src/exchange.rs"]
+mod exchange;
+#[path = "../src/fault.rs"]
+mod fault;
+#[path = "../src/ring.rs"]
+mod ring;
+#[path = "../src/statement.rs"]
+mod statement;
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use exchange::{Carrier, Entry, Exchange, Final, Order, Row, Spoken};
+use leverpoint::interface::{Ending, News, Phase};
+use leverpoint_facts::settings;
+use statement::Kind;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+const SETTINGS: &str = r#"{"balancers": 1, "me": 0, "tickMs": 5.0, "discovery": "pushed",
+    "contract": {"coldMs": 0.0, "fallMs": 1500.0, "fallMultiple": 2.5, "startCapacity": 0.2, "stopSendingWithinMs": 500.0},
+    "familyInfo": {"guards": "reject", "listRole": "delayed", "readLevel": ["own_writes", "update"], "stamps": true,
+     "tokens": "router"},
+    "grades": [
+     {"name": "own", "aimMs": 400.0, "deadlineMs": 2000.0, "semantics": "pure", "worth": 1.0},
+     {"name": "order", "aimMs": 400.0, "deadlineMs": 2000.0, "semantics": "side_effect", "worth": 3.0}],
+    "policyLimits": {"sendCap": 4, "connectTimeoutMs": 250.0, "idleCloseMs": 15000.0}}"#;
+
+/// Answers each dispatch after 20 ms; the first of every set says it is the primary.
+#[derive(Default)]
+struct Answers {
+    let_go: RefCell<BTreeSet<usize>>,
+}
+
+impl Carrier for Rc<Answers> {
+    fn carry(&self, order: Order) {
+        spawn_local(async move {
+            sleep(Duration::from_millis(20)).await;
+            order.deliver(Row::default());
+            let position = Some(0.0);
+            order.end(Ending::Answered, Some(Spoken { primary: Some(true), position }));
+        });
+    }
+
+    fn let_go(&self, server: usize) {
+        self.let_go.borrow_mut().insert(server);
+    }
+}
+
+fn entry(nth: usize, phase: Phase) -> Entry {
+    Entry {
+        uid: format!("s-{nth}"),
+        endpoint: Some(([127, 0, 0, 1], 5432).into()),
+        zone: String::new(),
+        set: 2,
+        phase,
+        primary: true,
+        size: 1.0,
+        started_ms: 0.0,
+    }
+}
+
+#[test]
+fn tables_come_back_to_their_size_after_thousands_of_new_ids() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.unwrap(), async {
+        let opened = settings::read(7, SETTINGS.as_bytes()).unwrap();
+        let counters = Rc::new(counters::Counters::new(&opened.groups));
+        let exchange = Exchange::new(opened, counters, slog::Logger::root(slog::Discard, slog::o!()));
+        let answers = Rc::new(Answers::default());
+        exchange.set_carrier(Rc::new(answers.clone()));
+        spawn_local(exchange.clone().keep_time());
+        let mut most = 0;
+        // A new server every half second, a new session and a new id with each command.
+        for nth in 0..2000 {
+            let changes = [entry(nth, Phase::Ready), entry(nth.wrapping_sub(1), Phase::Gone)];
+            exchange.list(News::Changes, &changes[..1 + usize::from(nth > 0)]);
+            for part in 0..2 {
+                let text = format!(
+                    "INSERT INTO records (k, v) VALUES ('s{nth}-{part}', '\\x9f') RETURNING v /* id={nth}-{part},c=order,d=900,cluster=2 */"
+                );
+                let Ok(Kind::Command(said)) = statement::read(&text) else { panic!("{text}") };
+                let ticket = exchange.arrived(&said, &text).unwrap_or_else(|e| panic!("{e:?}"));
+                assert!(matches!(ticket.await, Final::Answered(_)), "{text}");
+            }
+            sleep(Duration::from_millis(460)).await;
+            most = most.max(exchange.tables()[0].1);
+        }
+        // Those of the last half minute at most, and the one that is there.
+        assert!(most < 70, "{most} servers at once");
+        sleep(Duration::from_secs(40)).await;
+        exchange.list(News::Changes, &[]);
+        let held = exchange.tables();
+        assert!(held[1].1 < 70 && answers.let_go.borrow().len() < 70, "{held:?}");
+        assert_eq!((held[0], held[4]), (("servers", 1), ("open_ids", 0)), "{held:?}");
+        assert!(held[2].1 <= 1 && held[3].1 <= 2 && held[5].1 <= 1, "{held:?}");
+    });
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -36,9 +36,9 @@
     Sent,
     NoRoom,
     Hopeless,
-    Answered,
     InVain,
-    HungUp,
+    /// It has an answer, or its client has gone.
+    Done,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,18 +52,17 @@
 }
 
 /// State, what is seen, next state, what is done. What is done may itself be seen and read again.
-const TABLE: [(State, Seen, State, Act); 11] = [
+const TABLE: [(State, Seen, State, Act); 10] = [
     (State::New, Seen::Arrived, State::Lined, Act::JoinFirst),
     (State::Lined, Seen::Turn, State::Lined, Act::Place),
     (State::Held, Seen::Turn, State::Lined, Act::Place),
     (State::Lined, Seen::Sent, State::Out, Act::Rest),
     (State::Lined, Seen::NoRoom, State::Held, Act::Hold),
     (State::Lined, Seen::Hopeless, State::Over, Act::GiveUp),
-    (State::Out, Seen::Answered, State::Over, Act::Rest),
     (State::Out, Seen::InVain, State::Lined, Act::JoinFurther),
-    (State::Lined, Seen::HungUp, State::Over, Act::Rest),
-    (State::Held, Seen::HungUp, State::Over, Act::Rest),
-    (State::Out, Seen::HungUp, State::Over, Act::Rest),
+    (State::Lined, Seen::Done, State::Over, Act::Rest),
+    (State::Held, Seen::Done, State::Over, Act::Rest),
+    (State::Out, Seen::Done, State::Over, Act::Rest),
 ];
 
 /// Few coarse bins, each half as wide again as the one before; halved now and then.
@@ -298,7 +297,7 @@
             Input::List(news, entries) => self.list(*news, entries, out),
             Input::Arrived(arrival) => self.arrived(arrival, out),
             Input::Ended(end) => self.ended(end, out),
-            Input::HungUp(cmd) => self.step(*cmd, Seen::HungUp, out),
+            Input::HungUp(cmd) => self.step(*cmd, Seen::Done, out),
             Input::Due(_) => {
                 self.armed = false;
                 self.recall();
@@ -307,8 +306,12 @@
             Input::Probed { .. } => {}
             Input::Told(claims) => claims.iter().for_each(|claim| self.told(claim, out)),
         }
-        self.follow(out);
+        // A list that comes only when asked for is followed, and asked for again after a failure.
+        if self.follow_at.take_if(|at| *at <= self.now).is_some() {
+            out.push(Effect::FollowList(true));
+        }
         self.serve(out);
+        self.forget_gone(out);
     }
 
     fn step(&mut self, cmd: usize, seen: Seen, out: &mut Vec<Effect>) {
@@ -386,7 +389,6 @@
         }
         cmd.missed |= e.ending == Ending::Missed;
         cmd.had_by_server |= !matches!(e.ending, Ending::NotConnected | Ending::NotSent);
-        let still_out = !cmd.out.is_empty();
         self.account(e, &sent, group, out);
         if let (Need::Write, Ending::Answered, Some(s), Some(Word { position: Some(p), .. })) =
             (self.groups[group].facts.need, e.ending, session, e.word)
@@ -394,9 +396,8 @@
             self.remember(s, set, p);
         }
         let seen = match e.ending {
-            _ if e.over => Seen::HungUp,
-            Ending::Answered => Seen::Answered,
-            _ if still_out => return,
+            ending if e.over || ending == Ending::Answered => Seen::Done,
+            _ if !self.cmds[e.cmd].out.is_empty() => return,
             _ => Seen::InVain,
         };
         self.step(e.cmd, seen, out);
@@ -589,16 +590,6 @@
         }
     }
 
-    /// A list that comes only when asked for is followed, and asked for again after a failure.
-    fn follow(&mut self, out: &mut Vec<Effect>) {
-        if self.follow_at.take_if(|at| *at <= self.now).is_some() {
-            out.push(Effect::FollowList(true));
-        }
-        if self.follow_at.is_some() {
-            self.arm(out);
-        }
-    }
-
     fn set(&mut self, set: usize) -> &mut Set {
         if self.sets.len() <= set {
             self.sets.resize_with(set + 1, Set::default);
@@ -629,6 +620,22 @@
         }
     }
 
+    /// Once a second, servers gone and unheard for half a minute, when nothing known of them is worth keeping.
+    fn forget_gone(&mut self, out: &mut Vec<Effect>) {
+        let due = if self.halved == self.now { self.servers.len() } else { 0 };
+        for server in 0..due {
+            let s = &self.servers[server];
+            let over = s.known && s.phase == Phase::Gone && s.in_flight == 0;
+            if over && self.now - s.heard > 30_000 * MS {
+                let set = &mut self.sets[s.set];
+                set.members.retain(|&member| member != server);
+                set.primary = set.primary.filter(|&primary| primary != server);
+                self.servers[server] = Server::default();
+                out.push(Effect::ForgetServer(server));
+            }
+        }
+    }
+
     fn hold(&self) -> Tenths {
         if let Check::Hold(t) = self.facts.check { t } else { 0 }
     }
@@ -694,7 +701,7 @@
         while let Some(cmd) = self.first.pop_front().or_else(|| self.further.pop_front()) {
             self.step(cmd, Seen::Turn, out);
         }
-        if !self.held.is_empty() {
+        if !self.held.is_empty() || self.follow_at.is_some() {
             self.arm(out);
         }
     }
@@ -748,8 +755,7 @@
             }
         };
         let Some(server) = found.filter(|&m| self.drops_repeat(cmd, m)) else { return Seen::NoRoom };
-        let timeout = self.patience(cmd, left);
-        self.send(cmd, server, timeout, out);
+        self.send(cmd, server, self.patience(cmd, left), out);
         Seen::Sent
     }
 
@@ -781,12 +787,8 @@
 
     fn live(&self, server: usize) -> Option<&Server> {
         let s = &self.servers[server];
-        let barred = match s.phase {
-            Phase::Ready => false,
-            Phase::Draining => true,
-            Phase::Gone => !self.facts.guard.only_draining_bars || s.drained,
-        };
-        (!barred).then_some(s)
+        let gone_only = s.phase == Phase::Gone && !s.drained && self.facts.guard.only_draining_bars;
+        (s.phase == Phase::Ready || gone_only).then_some(s)
     }
 
     /// Our pick: the unskipped replica with fewest in flight among those known to cover what is owed, else
@@ -990,8 +992,7 @@
             Effects::Mutating => false,
         };
         if !harmless {
-            out.push(Effect::Fail { cmd });
-            return;
+            return out.push(Effect::Fail { cmd });
         }
         // By then what it waited for may have passed: as long as the command group's target.
         let advice = self.groups[c.group].facts.target.min(self.facts.allowed.longest_come_back);
--- a/src/indices.rs
+++ b/src/indices.rs
@@ -41,6 +41,11 @@
         self.of.get(id).copied()
     }
 
+    /// How many ids have an index now.
+    pub fn count(&self) -> usize {
+        self.of.len()
+    }
+
     pub fn id(&self, index: usize) -> &K {
         &self.ids[index]
     }
@@ -90,6 +95,11 @@
         index
     }
 
+    /// How many sessions are told apart.
+    pub fn count(&self) -> usize {
+        self.indices.count()
+    }
+
     /// A dispatch has ended; the module remembers the position that a write was answered with.
     pub fn ended(&mut self, command: &HeldCommand, ending: Ending, word: Option<Word>) {
         if let (true, Some(session), Ending::Answered, Some(Word { position: Some(_), .. })) =
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -283,5 +283,7 @@
     FollowList(bool),
     /// The session's index is free to be given out again.
     ForgetSession(usize),
+    /// The server's index is free to be given out again: it is gone and nothing of it is out.
+    ForgetServer(usize),
     Log(String),
 }
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -300,3 +300,18 @@
     b.arrive(2, 4, None);
     assert_snapshot!(b.trace());
 }
+
+#[test]
+fn a_server_gone_and_unheard_for_half_a_minute_is_forgotten_and_its_index_begins_anew() {
+    let mut b = Bench::new(facts());
+    b.list(News::Remembered, &[line(0, Phase::Ready, true, 0), line(1, Phase::Ready, false, 0)]);
+    b.arrive(0, 0, None);
+    b.list(News::Changes, &[line(1, Phase::Gone, false, 0)]);
+    // Not while something of it is out.
+    b.pass(31_000);
+    b.end(0, 0, Ending::Reset, None);
+    b.pass(31_000);
+    b.list(News::Changes, &[line(1, Phase::Ready, false, 0)]);
+    b.arrive(1, 0, None);
+    assert_snapshot!(b.trace());
+}
