Commands are given up near half their time where their set is lost as a whole

A probe of what was given up: from 7.5 s on all five servers of a set restart at once, and three in four of its commands hear so after half of their time, reads at their target, writes at their end; later the same while all five are cold. The half that was there (cut_off) looked at writes only and at 15 ms before half, where the timer wakes every 11 ms: it fired at 50 to 52 % of the time.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -18,8 +18,8 @@
 use crate::serve::{Claim, Leaving, Shown};
 use crate::statement::{self, Kind};
 
-/// In this time a client has to say its startup packet whole, and later any message that it has begun: the protocol owes
-/// a bad one an error or a close within 3 s of connecting, and a second is kept for a busy core.
+/// In this time a client has to say its startup packet whole, and later any message that it has begun: a bad
+/// one is owed an error or a close within 3 s of connecting, and a second is kept for a busy core.
 const SHOWN_WITHIN: Duration = Duration::from_secs(2);
 
 struct Client {
@@ -33,6 +33,16 @@
     _claim: Claim,
 }
 
+/// What a wait for more of a message has come to.
+enum Came {
+    Bytes,
+    Nothing,
+    /// It is to leave in order.
+    Leave,
+    /// It has never asked anything and makes room for others, at once.
+    MakeRoom,
+}
+
 impl Drop for Client {
     fn drop(&mut self) {
         add(&self.exchange.counters.clients.closed);
@@ -75,7 +85,6 @@
         if !admitted? {
             return Ok(());
         }
-        let lingers = self.exchange.connect_timeout();
         let mut shown = Shown::Startup;
         let mut skipping = false;
         let mut room = None;
@@ -83,41 +92,24 @@
         let mut due = None;
         loop {
             let (tag, body) = match message::next(&mut self.link.input) {
-                Read::Message(tag, body) => {
-                    (due, shown) = (None, Shown::Message);
-                    self.link.expect_usual();
-                    (tag, body)
-                }
+                Read::Message(tag, body) => (tag, body),
                 Read::Long => return self.part("54000", "the message is longer than is taken").await,
                 Read::Broken => return self.part("08P01", "a message of impossible length").await,
                 Read::Short(length) => {
-                    let idle = self.link.input.is_empty();
-                    if !idle {
+                    if !self.link.input.is_empty() {
                         due = due.or(Some(Instant::now() + SHOWN_WITHIN));
                     }
-                    let more = async {
-                        self.link.expect(length, &self.memory, &mut room).await;
-                        self.link.read().await
-                    };
-                    tokio::select! {
-                        biased;
-                        read = more => { read?; }
-                        _ = leaving.asked(shown), if self.stays && (idle || (shown == Shown::Startup && !leaving.all())) => {
-                            match shown {
-                                _ if !idle && leaving.all() => {}
-                                // Making room for others, one that has never asked anything waits for nothing.
-                                Shown::Startup if !leaving.all() => return Ok(()),
-                                _ => return self.leave().await,
-                            }
-                        }
-                        _ = sleep(lingers), if !self.stays => return self.leave().await,
-                        _ = sleep_until(due.unwrap_or(by)), if due.is_some() => {
-                            return self.part("08P01", "no whole message in time").await;
-                        }
+                    match self.more(length, &mut room, due, shown, leaving).await? {
+                        Came::Bytes => continue,
+                        Came::Nothing => return self.part("08P01", "no whole message in time").await,
+                        Came::Leave => return self.leave().await,
+                        Came::MakeRoom => return Ok(()),
                     }
-                    continue;
                 }
             };
+            (due, shown) = (None, Shown::Message);
+            self.link.expect_usual();
+            let room = room.take();
             match tag {
                 b'X' => return Ok(()),
                 b'S' => {
@@ -126,7 +118,7 @@
                 }
                 _ if skipping => {}
                 b'Q' => {
-                    self.query(body, room.take()).await?;
+                    self.query(body, room).await?;
                     if !self.stays {
                         return self.leave().await;
                     }
@@ -141,6 +133,36 @@
         }
     }
 
+    /// Waits for more of a message of that length.
+    async fn more(
+        &mut self,
+        length: usize,
+        room: &mut Option<Room>,
+        due: Option<Instant>,
+        shown: Shown,
+        leaving: &Leaving,
+    ) -> io::Result<Came> {
+        let lingers = self.exchange.connect_timeout();
+        let idle = self.link.input.is_empty();
+        let may_leave = self.stays && (idle || (shown == Shown::Startup && !leaving.all()));
+        let bytes = async {
+            self.link.expect(length, &self.memory, room).await;
+            self.link.read().await
+        };
+        tokio::select! {
+            biased;
+            read = bytes => read.map(|_| Came::Bytes),
+            _ = leaving.asked(shown), if may_leave => Ok(match shown {
+                // One that has begun to ask something is heard, unless it is one of too many.
+                _ if leaving.all() && !idle => Came::Bytes,
+                Shown::Startup if !leaving.all() => Came::MakeRoom,
+                _ => Came::Leave,
+            }),
+            _ = sleep(lingers), if !self.stays => Ok(Came::Leave),
+            _ = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => Ok(Came::Nothing),
+        }
+    }
+
     /// Answers the startup packets; false where the connection ends with them.
     async fn admit(&mut self) -> io::Result<bool> {
         loop {
@@ -259,7 +281,7 @@
         self.leave().await
     }
 
-    /// Ends the connection so that nothing the client has said is answered by a reset, unless it says too much.
+    /// Ends the connection so that nothing the client has said is answered by a reset, up to a bound.
     async fn leave(&mut self) -> io::Result<()> {
         within(self.exchange.connect_timeout(), self.link.finish(message::LONGEST)).await
     }
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -610,10 +610,15 @@
     /// News of the list; the module is told it as what it is.
     pub fn list(self: &Rc<Self>, news: News, entries: &[Entry]) {
         let mut left = Vec::new();
-        let listed = {
+        let listed: Vec<_> = {
             let mut inner = self.inner.borrow_mut();
             entries.iter().map(|entry| self.listed(&mut inner, entry, &mut left)).collect()
         };
+        if news == News::Whole {
+            // What it does not have is gone.
+            let places = self.inner.borrow().places.len();
+            left.extend((0..places).filter(|server| listed.iter().all(|l| l.server != *server)));
+        }
         self.take(Event::List(news, listed));
         if news == News::Failed {
             // One that must be asked for is followed again once the module asks.
--- a/gateway/src/ring.rs
+++ b/gateway/src/ring.rs
@@ -1,8 +1,8 @@
 //! Owns the bytes of a connection: a ring buffer a direction, and the link that moves them.
 //!
 //! A ring begins small, grows up to a bound and gives its memory back once empty; past [`BASE`] the bound is
-//! raised only for a message of known length, with room claimed as it comes from what all connections share. It
-//! must never grow past its bound, hand a byte out twice, or know what the bytes mean.
+//! raised only for a message of known length, with room claimed as its bytes come from what all connections
+//! share. It must never grow past its bound, hand a byte out twice, or know what the bytes mean.
 
 use std::cell::Cell;
 use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
@@ -15,7 +15,7 @@
 
 /// What a ring begins with and falls back to: a few commands or answers of the usual size.
 const SMALL: usize = 2 << 10;
-/// What a ring may grow to without a claim: usual messages. With it all rings of 1,024 connections take 8 MiB.
+/// What a ring may grow to without a claim: usual messages. The rings of 1,024 connections come to 8 MiB.
 pub const BASE: usize = 4 << 10;
 
 /// Bytes that all connections of a side share for messages longer than [`BASE`].
@@ -194,8 +194,9 @@
         Ok(Link::new(TcpStream::connect(to).await?))
     }
 
-    /// Lets the input take more of a message of `length`. Room for a long one is claimed as its bytes come, never
-    /// much more than has come, so that who announces much and says nothing takes nothing from others.
+    /// Lets the input take more of a message of `length`. Room for a long one is claimed as its bytes come,
+    /// at most as much again as has come, so that who announces much and says nothing takes nothing from
+    /// others.
     pub async fn expect(&mut self, length: usize, memory: &Rc<Memory>, room: &mut Option<Room>) {
         if self.input.space() > 0 || length <= self.input.bound {
             return;
@@ -230,8 +231,8 @@
         }
     }
 
-    /// Waits for more input; with a full ring for as long as it is let, blind to the connection's end. Safe to
-    /// drop while it waits.
+    /// Waits for more input; with a full ring for as long as it is let, blind to the connection's end. Safe
+    /// to drop while it waits.
     pub async fn read(&mut self) -> io::Result<usize> {
         loop {
             if self.input.space() == 0 {
@@ -277,8 +278,8 @@
         Ok(())
     }
 
-    /// Tells the other side that nothing more comes, and waits for its end, passing over what it still says, up
-    /// to so much.
+    /// Tells the other side that nothing more comes, and waits for its end, passing over what it still says,
+    /// up to so much.
     pub async fn finish(&mut self, most: usize) -> io::Result<()> {
         SockRef::from(&self.stream).shutdown(Shutdown::Write)?;
         let mut passed = 0;
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -33,11 +33,11 @@
 
 /// The descriptors that connections may hold, over both sides.
 ///
-/// Each side has half, and what the other leaves of its own. Who is at his half makes room on his own side, and
-/// one that is below it gets back what the other has borrowed, from its idle connections. A client that still
-/// comes has been accepted by the machine, and its command with it, so it is heard and sent back rather than left
-/// to wait: a sixteenth is kept for that, as it takes no longer than a client needs to close; once it is used up
-/// accepting pauses.
+/// Each side has half. Servers may use what clients leave of theirs, and give it back from their idle
+/// connections; clients at their half make room among themselves. A client that still comes has been accepted
+/// by the machine, and its command with it, so it is heard and sent back rather than left to wait: a
+/// sixteenth is kept for that, as it takes no longer than a client needs to close; once it is used up accepting
+/// pauses.
 pub struct Descriptors {
     left: Cell<usize>,
     clients: Cell<usize>,
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -93,8 +93,8 @@
 }
 
 fn comment<'a>(text: &'a str, range: Range<usize>, key: &'a str, write: bool) -> Result<Said<'a>, Wrong> {
-    // Digits and a fraction: what other ways of writing a number mean, each end might read in its own way. Unix
-    // time in milliseconds stays below this for centuries.
+    // Digits and a fraction: what other ways of writing a number mean, each end might read in its own way.
+    // Unix time in milliseconds stays below the bound for centuries.
     let number = |name: &str, value: &str| match value.parse::<f64>() {
         Ok(n) if n < 1e13 && value.bytes().all(|b| b.is_ascii_digit() || b == b'.') => Ok(n),
         _ => wrong("22023", format!("{name}: expected a number from 0 to 1e13, found {value:.30}")),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,7 +7,7 @@
 //! Mechanisms beside the design (at most six):
 //! 1. room: a command goes to a server only while an answer in time is likely there (`room`), to a primary as
 //!    overflow by chance (`overflow`), else it is held and served again by benefit (`serve`);
-//! 2. silence: quick time-outs (`patience`), single ones to bad servers (`suspect`), cut zones (`cut_off`);
+//! 2. silence: quick time-outs (`patience`), bad servers (`suspect`), lost sets (`waited_enough`);
 //! 3. cold budget: a server that has just started gets its part of a warm server's work (`warm_enough`);
 //! 4. customers' shares: in a shortage, what is beyond a share goes last (`over_share`);
 //! 5. believed positions: a replica keeps its lag (`believed`); reads that owe nothing gather (`pick`);
@@ -620,7 +620,7 @@
         }
     }
 
-    /// Once a second, servers gone and unheard for half a minute, when nothing known of them is worth keeping.
+    /// Once a second, servers gone and unheard for half a minute, when what is known of them has faded.
     fn forget_gone(&mut self, out: &mut Vec<Effect>) {
         let due = if self.halved == self.now { self.servers.len() } else { 0 };
         for server in 0..due {
@@ -678,11 +678,15 @@
 
     fn arm(&mut self, out: &mut Vec<Effect>) {
         if !std::mem::replace(&mut self.armed, true) {
-            // 10 ms: far below any target, and cheap.
-            out.push(Effect::Timer { at: self.now + self.facts.grain.max(10 * MS), key: 0 });
+            out.push(Effect::Timer { at: self.now + self.beat(), key: 0 });
         }
     }
 
+    /// How often held commands are tried again. 10 ms: far below any target, and cheap.
+    fn beat(&self) -> Tenths {
+        self.facts.grain.max(10 * MS)
+    }
+
     /// Held commands join their lines again, most benefit per work first.
     fn recall(&mut self) {
         let mut held = std::mem::take(&mut self.held);
@@ -696,7 +700,6 @@
         }
     }
 
-    /// First dispatches, then further ones.
     fn serve(&mut self, out: &mut Vec<Effect>) {
         while let Some(cmd) = self.first.pop_front().or_else(|| self.further.pop_front()) {
             self.step(cmd, Seen::Turn, out);
@@ -719,7 +722,7 @@
     }
 
     fn target_left(&self, c: &Command) -> Tenths {
-        c.came + self.groups[c.group].facts.target - self.now
+        c.ends.min(c.came + self.groups[c.group].facts.target) - self.now
     }
 
     fn place(&mut self, cmd: usize, out: &mut Vec<Effect>) -> Seen {
@@ -727,8 +730,8 @@
         let g = &self.groups[c.group];
         let left = c.ends - self.now - 2 * self.facts.grain;
         let target_left = self.target_left(c);
-        if left <= 0
-            || (g.only_primary() && self.cut_off(c))
+        if left < (g.typical / 2).max(1)
+            || self.waited_enough(c)
             || c.dispatches >= self.facts.allowed.dispatches
             || (g.facts.late <= 0.0 && target_left < g.typical / 2)
             || !self.may_go_again(c)
@@ -759,13 +762,14 @@
         Seen::Sent
     }
 
-    /// Guards writes without a primary against waiting out a cut between zones: near half of its time (two
-    /// grains for the timer, one for the way) one no server has had is its client's. Harm: in a short cut.
-    fn cut_off(&self, c: &Command) -> bool {
+    /// Guards against waiting out a set without a primary, or one silent, gone or cold as a whole: near half of
+    /// its time (two beats before) what no server has had is its client's. Harm: where such a trouble is short.
+    fn waited_enough(&self, c: &Command) -> bool {
         let set = &self.sets[c.set];
-        let mut far = set.members.iter().map(|&m| &self.servers[m]).filter(|s| s.zone != self.facts.zone);
-        let cut = set.primary.is_none() && far.next().is_some_and(|s| s.silent) && far.all(|s| s.silent);
-        cut && !c.had_by_server && (self.now - c.came + 3 * self.facts.grain) * 2 >= c.ends - c.came
+        let out = |&m: &usize| self.live(m).is_none_or(|s| s.silent || self.coldness(s).is_some());
+        (set.primary.is_none() || set.members.iter().all(out))
+            && !c.had_by_server
+            && (self.now - c.came + 2 * self.beat()) * 2 >= c.ends - c.came
     }
 
     /// Whether the rule on double effects lets the command be dispatched once more.
@@ -941,7 +945,6 @@
         self.cold_budget(s).is_none_or(|budget| budget >= 0.0)
     }
 
-    /// The work that a cold server may get now.
     fn cold_budget(&self, s: &Server) -> Option<f64> {
         let part = self.coldness(s)?;
         let rate = self.warm_work / self.warm_span * s.size / self.warm_size.max(s.size) * part;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -12,6 +12,8 @@
     pub now: Tenths,
     /// Whether clients say that what arrives is a repeat.
     pub repeat: bool,
+    /// How long a client waits.
+    pub wait: Tenths,
     /// How long a dispatch takes.
     pub took: Tenths,
     effects: Vec<Effect>,
@@ -81,6 +83,7 @@
             decider,
             now: 100_000 * MS,
             repeat: false,
+            wait: 2000 * MS,
             took: 20 * MS,
             effects: Vec::new(),
             trace: String::new(),
@@ -102,7 +105,7 @@
     }
 
     pub fn arrive(&mut self, cmd: usize, group: usize, session: Option<usize>) {
-        let ends = self.now + 2000 * MS;
+        let ends = self.now + self.wait;
         let arrival =
             Arrival { cmd, group, customer: 0, set: 0, session, ends, token: None, repeat: self.repeat };
         self.take(&format!("command {cmd} of group {group}"), &Input::Arrived(arrival));
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -315,3 +315,15 @@
     b.arrive(1, 0, None);
     assert_snapshot!(b.trace());
 }
+
+#[test]
+fn a_command_whose_client_will_not_wait_for_an_answer_hears_so_at_once() {
+    let mut b = Bench::with_set(facts());
+    // Usual answers take 100 ms.
+    b.wait = 60 * MS;
+    b.arrive(0, 0, None);
+    b.wait = 40 * MS;
+    b.arrive(1, 0, None);
+    b.arrive(2, 4, None);
+    assert_snapshot!(b.trace());
+}
