What comes last in a shortage is given up near half of its time

A repeat gets next to no room in a shortage, so it waited in vain.

Changed: decide.rs, waited_enough, acts for repeats and for what is beyond a share too.

What is left of held_back is first tries that wait for room up to their target.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,7 +7,7 @@
 //! Mechanisms beside the design (at most six):
 //! 1. room: a command goes to a server only while an answer in time is likely there (`room`), to a primary as
 //!    overflow by chance (`overflow`), else it is held and served again by benefit (`serve`);
-//! 2. silence: quick time-outs (`patience`), bad servers (`suspect`), lost sets (`waited_enough`);
+//! 2. silence: quick time-outs (`patience`), bad servers (`suspect`), vain waits (`waited_enough`);
 //! 3. cold budget: a server that has just started gets its part of a warm server's work (`warm_enough`);
 //! 4. customers' shares: in a shortage, what is beyond a share goes last (`over_share`);
 //! 5. believed positions: a replica keeps its lag (`believed`); reads that owe nothing gather (`pick`);
@@ -762,13 +762,13 @@
         Seen::Sent
     }
 
-    /// Guards against waiting out a set without a primary, or one silent, gone or cold as a whole: near half of
-    /// its time (two beats before) what no server has had is its client's. Harm: where such a trouble is short.
+    /// Guards against waits in vain, of what comes last in a shortage, and where a set has no primary or is all
+    /// silent, gone or cold: what no server has had ends near half of its time. Harm: in a short trouble.
     fn waited_enough(&self, c: &Command) -> bool {
         let set = &self.sets[c.set];
         let out = |&m: &usize| self.live(m).is_none_or(|s| s.silent || self.coldness(s).is_some());
-        (set.primary.is_none() || set.members.iter().all(out))
-            && !c.had_by_server
+        !c.had_by_server
+            && (c.repeat || c.over_share || set.primary.is_none() || set.members.iter().all(out))
             && (self.now - c.came + 2 * self.beat()) * 2 >= c.ends - c.came
     }
 
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -327,3 +327,16 @@
     b.arrive(2, 4, None);
     assert_snapshot!(b.trace());
 }
+
+#[test]
+fn a_repeat_that_finds_no_room_hears_so_before_half_of_its_time() {
+    let mut b = Bench::with_set(facts());
+    b.arrive(0, 0, None);
+    (0..4).for_each(|nth| b.end(0, nth, Ending::Full, None));
+    b.wait = 600 * MS;
+    b.arrive(1, 0, None);
+    b.repeat = true;
+    b.arrive(2, 0, None);
+    b.pass(400);
+    assert_snapshot!(b.trace());
+}
