Room is kept for new clients: beyond half of what they may hold the longest idle leaves

Cause: clients that ask once and hold on fill the third of the descriptors that clients may hold, 127 idle and one open; others had no connection left, 29,931 tries never came, and the gateway, with descriptors to spare, asked nobody to leave (serve.rs, ask_one, acted only on want of its own).

Changed: one that becomes idle asks the longest idle to leave once idle and open ones pass a sixth of the descriptors. Those who wait to be asked stand in a queue by age, so that who says its startup byte by byte does not go to its end each time.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -73,11 +73,11 @@
 
 impl Client {
     async fn serve(&mut self, leaving: &Leaving) -> io::Result<()> {
-        let by = Instant::now() + SHOWN_WITHIN;
+        let began = Instant::now();
         let admitted = tokio::select! {
             biased;
-            admitted = timeout_at(by, self.admit()) => admitted,
-            _ = leaving.asked(Shown::Nothing) => return Ok(()),
+            admitted = timeout_at(began + SHOWN_WITHIN, self.admit()) => admitted,
+            _ = leaving.asked(Shown::Nothing, began) => return Ok(()),
         };
         let Ok(admitted) = admitted else {
             return self.part("08P01", "no startup packet in time").await;
@@ -99,7 +99,8 @@
                     if !self.link.input.is_empty() {
                         due = due.or(Some(Instant::now() + SHOWN_WITHIN));
                     }
-                    match self.more(length, &mut room, due, shown, leaving).await? {
+                    let since = if shown == Shown::Startup { began } else { Instant::now() };
+                    match self.more(length, &mut room, due, leaving, (shown, since)).await? {
                         Came::Bytes => continue,
                         Came::Nothing => return self.part("08P01", "no whole message in time").await,
                         Came::Leave => return self.leave().await,
@@ -139,11 +140,14 @@
         length: usize,
         room: &mut Option<Room>,
         due: Option<Instant>,
-        shown: Shown,
         leaving: &Leaving,
+        (shown, since): (Shown, Instant),
     ) -> io::Result<Came> {
         let lingers = self.exchange.connect_timeout();
         let idle = self.link.input.is_empty();
+        if idle && shown == Shown::Message {
+            leaving.one_more_idle(self.exchange.open());
+        }
         let may_leave = self.stays && (idle || (shown == Shown::Startup && !leaving.all()));
         let bytes = async {
             self.link.expect(length, &self.memory, room).await;
@@ -152,7 +156,7 @@
         tokio::select! {
             biased;
             read = bytes => read.map(|_| Came::Bytes),
-            _ = leaving.asked(shown), if may_leave => Ok(match shown {
+            _ = leaving.asked(shown, since), if may_leave => Ok(match shown {
                 // One that has begun to ask something is heard, unless it is one of too many.
                 _ if leaving.all() && !idle => Came::Bytes,
                 Shown::Startup if !leaving.all() => Came::MakeRoom,
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -3,6 +3,7 @@
 //! It puts the parts together and lets each go on by itself. It must never read what they say to each other.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,8 +37,8 @@
 /// Each side has half. Servers may use what clients leave of theirs, and give it back from their idle
 /// connections; clients at their half make room among themselves. A client that still comes has been accepted
 /// by the machine, and its command with it, so it is heard and sent back rather than left to wait: a
-/// sixteenth is kept for that, as it takes no longer than a client needs to close; once it is used up accepting
-/// pauses.
+/// sixteenth is kept for that, as it takes no longer than a client needs to close; once it is used up
+/// accepting pauses.
 pub struct Descriptors {
     left: Cell<usize>,
     clients: Cell<usize>,
@@ -142,36 +143,64 @@
 
 /// Asks connections of clients to end while nothing of theirs is open: all of them, or one. Those that have
 /// shown nothing yet go first, of either kind the one that has waited longest.
-#[derive(Default)]
 pub struct Leaving {
     all: Cell<bool>,
     strangers: Waiting,
     idle: Waiting,
+    /// Connections that may stay between commands, with those that have one open.
+    most: usize,
 }
 
+/// Those that wait to be asked, by since when and then in their order.
 #[derive(Default)]
 struct Waiting {
-    asked: Notify,
-    count: Cell<usize>,
+    queue: RefCell<BTreeMap<(Instant, u64), Rc<Notify>>>,
+    next: Cell<u64>,
 }
 
-/// Counts one that waits for as long as it does.
-struct Counted<'a>(&'a Cell<usize>);
+/// A place in the queue, for as long as it is waited for.
+struct Queued<'a>(&'a Waiting, (Instant, u64));
 
-impl Drop for Counted<'_> {
+impl Drop for Queued<'_> {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.0.queue.borrow_mut().remove(&self.1);
+    }
+}
+
+impl Waiting {
+    async fn asked(&self, since: Instant) {
+        let place = Queued(self, (since, self.next.replace(self.next.get() + 1)));
+        let asked = Rc::new(Notify::new());
+        self.queue.borrow_mut().insert(place.1, asked.clone());
+        asked.notified().await;
+    }
+
+    /// Asks the first; whether there was one.
+    fn ask_first(&self) -> bool {
+        self.queue.borrow_mut().pop_first().inspect(|(_, first)| first.notify_one()).is_some()
     }
 }
 
 impl Leaving {
-    /// Waits, for one that has nothing open, until it is to leave.
-    pub async fn asked(&self, shown: Shown) {
+    /// Clients hold a third of the descriptors for commands at most, as the platform says. Half of that is
+    /// kept free for new ones: who asks once and holds on would else keep all others from coming at all.
+    fn new(sockets: usize) -> Rc<Self> {
+        let (strangers, idle, most) = (Waiting::default(), Waiting::default(), sockets / 6);
+        Rc::new(Leaving { all: Cell::new(false), strangers, idle, most })
+    }
+
+    /// One more becomes idle while so many have a command open: if that is too many, the longest idle leaves.
+    pub fn one_more_idle(&self, open: usize) {
+        if self.idle.queue.borrow().len() + open >= self.most {
+            self.idle.ask_first();
+        }
+    }
+
+    /// Waits, for one that has had nothing open since then, until it is to leave.
+    pub async fn asked(&self, shown: Shown, since: Instant) {
         let waiting = if shown == Shown::Message { &self.idle } else { &self.strangers };
         while !self.all.get() {
-            waiting.count.set(waiting.count.get() + 1);
-            let _counted = Counted(&waiting.count);
-            waiting.asked.notified().await;
+            waiting.asked(since).await;
             if !self.all.get() {
                 return;
             }
@@ -184,7 +213,9 @@
 
     fn ask_all(&self) {
         self.all.set(true);
-        [&self.strangers, &self.idle].into_iter().for_each(|waiting| waiting.asked.notify_waiters());
+        for waiting in [&self.strangers, &self.idle] {
+            while waiting.ask_first() {}
+        }
     }
 
     pub fn all(&self) -> bool {
@@ -193,9 +224,7 @@
 
     /// Whether there is one to ask.
     fn ask_one(&self) -> bool {
-        // Those that wait are woken in the order in which they began to.
-        let one = [&self.strangers, &self.idle].into_iter().find(|waiting| waiting.count.get() > 0);
-        one.inspect(|waiting| waiting.asked.notify_one()).is_some()
+        self.strangers.ask_first() || self.idle.ask_first()
     }
 }
 
@@ -222,7 +251,7 @@
     let mut reload = signal(SignalKind::hangup())?;
     let mut print = signal(SignalKind::user_defined1())?;
     let counters = Rc::new(Counters::new(&node.opened.groups));
-    let leaving = Rc::new(Leaving::default());
+    let leaving = Leaving::new(node.limits.sockets);
     let descriptors = Descriptors::new(node.limits.sockets, leaving.clone());
     // What rings may take without a claim, both ways, comes off first; a third each is for statements and for
     // answers, the rest for everything else.
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -793,6 +793,21 @@
     assert_eq!(gateway.end(&["answered", "throttled", "failed"]), "answered=5 throttled=0 failed=0 ");
 }
 
+#[test]
+fn who_asks_once_and_holds_on_leaves_room_for_others() {
+    let primary = server("read-write", rows("served"));
+    // Ten that may stay, far fewer than have a descriptor.
+    let gateway = gateway_with(&[(&primary, "read-write")], settings(), (192, 60));
+    let mut stay: Vec<_> = (0..15).map(|_| gateway.client()).collect();
+    for client in &mut stay {
+        assert_eq!(client.ask(&insert("report")), "T D served C Z");
+    }
+    // The longest idle have left; the newest are there.
+    let (left, here) = stay.split_at_mut(5);
+    left.iter_mut().for_each(|client| assert_eq!(client.answer(), "end"));
+    here.iter_mut().for_each(|client| assert_eq!(client.ask(""), "I Z"));
+}
+
 #[test]
 fn long_messages_that_stop_keep_no_room_from_others() {
     let primary = server("read-write", rows("served"));
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -762,8 +762,8 @@
         Seen::Sent
     }
 
-    /// Guards against waits in vain, of what comes last in a shortage, and where a set has no primary or is all
-    /// silent, gone or cold: what no server has had ends near half of its time. Harm: in a short trouble.
+    /// Guards against waits in vain, of what comes last in a shortage, and where a set has no primary or is
+    /// all silent, gone or cold: what no server has had ends near half of its time. Harm: in a short trouble.
     fn waited_enough(&self, c: &Command) -> bool {
         let set = &self.sets[c.set];
         let out = |&m: &usize| self.live(m).is_none_or(|s| s.silent || self.coldness(s).is_some());
