Read once more: paths of changed keys come from Key, the stand-in that waits is made once

facts/node.rs joined key paths of its own and copied each subtree on its way down; Key joins them already and hands out references. Behaviour and assertions unchanged.

Left as it is: the walk over commands when a client becomes idle (Exchange::open, a few hundred slots at most), as a kept count would be one more state to hold in step; the settings are held twice, as the reload keeps the node whole.

--- a/facts/src/key.rs
+++ b/facts/src/key.rs
@@ -37,6 +37,10 @@
         Key { path: format!("{}{dot}{name}", self.path), value }
     }
 
+    pub fn path(&self) -> &str {
+        &self.path
+    }
+
     pub fn value(&self) -> Option<&'a Value> {
         self.value
     }
--- a/facts/src/node.rs
+++ b/facts/src/node.rs
@@ -35,23 +35,23 @@
     /// Keys of the file that another reading has found changed, whatever they are.
     pub fn changed(&self, again: &Node) -> Vec<String> {
         let mut out = Vec::new();
-        compare(&mut out, "", &self.document, &again.document);
+        compare(&mut out, &Key::root(&self.document), &Key::root(&again.document));
         out
     }
 }
 
-fn compare(out: &mut Vec<String>, path: &str, one: &Value, two: &Value) {
-    let (Some(a), Some(b)) = (one.as_object(), two.as_object()) else {
-        if one != two {
-            out.push(path.to_owned());
+fn compare(out: &mut Vec<String>, one: &Key<'_>, two: &Key<'_>) {
+    let (old, new) = (one.value(), two.value());
+    let (Some(a), Some(b)) = (old.and_then(Value::as_object), new.and_then(Value::as_object)) else {
+        if old != new {
+            out.push(one.path().to_owned());
         }
         return;
     };
+    let at_start = |name: &&String| one.path().is_empty() && ONLY_AT_START.contains(&name.as_str());
     let added = b.keys().filter(|name| !a.contains_key(*name));
-    for name in a.keys().chain(added).filter(|n| !path.is_empty() || !ONLY_AT_START.contains(&n.as_str())) {
-        let dot = if path.is_empty() { "" } else { "." };
-        let of = |map: &serde_json::Map<String, Value>| map.get(name).cloned().unwrap_or_default();
-        compare(out, &format!("{path}{dot}{name}"), &of(a), &of(b));
+    for name in a.keys().chain(added).filter(|name| !at_start(name)) {
+        compare(out, &one.get(name), &two.get(name));
     }
 }
 
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -394,6 +394,12 @@
     format!("{front},d=*{}", back.trim_start_matches(|c: char| c.is_ascii_digit()))
 }
 
+/// What waits for the test's word, and how to give it.
+fn waits(value: &str) -> (Sender<()>, Does) {
+    let (go, word) = mpsc::channel();
+    (go, Does::Wait(Arc::new(Mutex::new(word)), value.into()))
+}
+
 fn rows(value: &str) -> Vec<Does> {
     vec![Does::Row(value.into())]
 }
@@ -548,8 +554,7 @@
 
 #[test]
 fn a_client_that_goes_ends_its_command_and_nobody_elses() {
-    let (go, word) = mpsc::channel();
-    let waits = Does::Wait(Arc::new(Mutex::new(word)), "late".into());
+    let (go, waits) = waits("late");
     let primary = server("read-write", vec![waits, Does::Row("other's".into())]);
     let gateway = gateway(&[(&primary, "read-write")]);
     let mut gone = gateway.client();
@@ -741,8 +746,7 @@
 
 #[test]
 fn a_bad_client_hears_so_at_once_and_no_server_hears_of_it() {
-    let (go, word) = mpsc::channel();
-    let waits = Does::Wait(Arc::new(Mutex::new(word)), "waited".into());
+    let (go, waits) = waits("waited");
     let primary = server("read-write", vec![waits]);
     let gateway = gateway(&[(&primary, "read-write")]);
     let (mut honest, mut other) = (gateway.client(), gateway.client());
@@ -823,8 +827,7 @@
 
 #[test]
 fn sigterm_lets_what_was_taken_be_answered_and_closes_between_commands() {
-    let (go, word) = mpsc::channel();
-    let waits = Does::Wait(Arc::new(Mutex::new(word)), "answered all the same".into());
+    let (go, waits) = waits("answered all the same");
     let primary = server("read-write", vec![waits, Does::Row("taken on".into())]);
     let mut gateway = gateway(&[(&primary, "read-write")]);
     let (mut busy, mut idle) = (gateway.client(), gateway.client());
@@ -848,8 +851,7 @@
 
 #[test]
 fn short_of_descriptors_an_idle_client_leaves_and_what_is_still_too_much_is_sent_back() {
-    let (go, word) = mpsc::channel();
-    let waits = Does::Wait(Arc::new(Mutex::new(word)), "waited".into());
+    let (go, waits) = waits("waited");
     let primary = server("read-write", vec![waits]);
     // Nine descriptors for connections: four for clients, as many for servers, one for what is sent back.
     let gateway = gateway_with(&[(&primary, "read-write")], settings(), (192, 25));
