Descriptors, and who is asked to leave, move out of serve into a file of their own

Need: clients, servers and serve named each other in a circle, as did counters and exchange; what slow peers need of descriptors would have made the first circle larger.

Change: gateway/src/descriptors.rs owns Descriptors, Claim, Leaving and Shown; counters no longer know the exchange's final answers, the exchange adds to them itself. No behaviour changes.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -12,10 +12,10 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::counters::add;
+use crate::descriptors::{Claim, Leaving, Shown};
 use crate::exchange::{Exchange, Final};
 use crate::message::{self, Read};
 use crate::ring::{Link, Memory, Room};
-use crate::serve::{Claim, Leaving, Shown};
 use crate::statement::{self, Kind};
 
 /// In this time a client has to say its startup packet whole, and later any message that it has begun: a bad
--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -5,8 +5,6 @@
 
 use leverpoint::interface::Ending;
 
-use crate::exchange::Final;
-
 const ENDINGS: [Ending; 9] = [
     Ending::Answered,
     Ending::Error,
@@ -24,9 +22,9 @@
 #[derive(Default)]
 pub struct Counters {
     groups: Vec<(String, Count)>,
-    answered: Count,
-    throttled: Count,
-    failed: Count,
+    pub answered: Count,
+    pub throttled: Count,
+    pub failed: Count,
     gone: Count,
     dispatched: Count,
     endings: [Count; ENDINGS.len()],
@@ -73,14 +71,6 @@
         add(&self.dispatched);
     }
 
-    pub fn answered(&self, answer: &Final) {
-        add(match answer {
-            Final::Answered(_) => &self.answered,
-            Final::Throttled(_) => &self.throttled,
-            Final::Failed => &self.failed,
-        });
-    }
-
     pub fn dispatch_ended(&self, ending: Ending) {
         if let Some(at) = ENDINGS.iter().position(|e| *e == ending) {
             add(&self.endings[at]);
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -26,7 +26,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 
-use crate::counters::Counters;
+use crate::counters::{Counters, add};
 use crate::fault::{Cause, Fault, Reached};
 use crate::ring::Room;
 use crate::statement::Said;
@@ -592,7 +592,11 @@
             return;
         }
         running.held.over = true;
-        self.counters.answered(&answer);
+        add(match answer {
+            Final::Answered(_) => &self.counters.answered,
+            Final::Throttled(_) => &self.counters.throttled,
+            Final::Failed => &self.counters.failed,
+        });
         if let Some(waiting) = running.answer.take() {
             let _ = waiting.send(answer);
         }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -4,6 +4,7 @@
 
 mod clients;
 mod counters;
+mod descriptors;
 mod discovery;
 mod exchange;
 mod fault;
--- a/gateway/src/servers.rs
+++ b/gateway/src/servers.rs
@@ -16,11 +16,11 @@
 use tokio::time::{sleep, sleep_until, timeout_at};
 
 use crate::counters::{Counters, add};
+use crate::descriptors::{Claim, Descriptors};
 use crate::exchange::{Carrier, Order, Row, Spoken};
 use crate::fault::{Cause, Fault, Reached};
 use crate::message::{self, Read};
 use crate::ring::{Link, Memory, Room};
-use crate::serve::{Claim, Descriptors};
 
 struct Connection {
     link: Link,
