--- /dev/null
+++ b/pace/src/meter.rs
@@ -0,0 +1,110 @@
+//! Owns the measure of one direction of a connection: bytes that move, bytes that wait, and since when.
+//!
+//! Its size is fixed and an update touches one cache line. It must never judge what it measures.
+
+use crate::Tenths;
+
+/// A quarter of a second: long against the pauses of a busy machine, short against any client timeout.
+pub const WINDOW: Tenths = 2_500;
+/// A second of them: a phone's radio sleeps for a few hundred milliseconds and is not slow for it.
+const WINDOWS: usize = 4;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Meter {
+    /// What moved in each of the last windows; the place is the window's number modulo their count.
+    moved: [u32; WINDOWS],
+    /// Number of the window that was written last.
+    window: i64,
+    /// Something has waited since then.
+    since: Tenths,
+    /// When a byte moved last, or the wait began.
+    progress: Tenths,
+    /// All that has moved in this wait.
+    taken: u32,
+    waiting: u32,
+}
+
+impl Meter {
+    /// So many bytes more wait to move; the first of them begin a wait.
+    pub fn add(&mut self, now: Tenths, bytes: usize) {
+        if self.waiting == 0 {
+            *self = Meter { since: now, progress: now, window: now / WINDOW, ..Meter::default() };
+        }
+        self.waiting = self.waiting.saturating_add(bytes.min(u32::MAX as usize) as u32);
+    }
+
+    /// So many have moved; more than wait count as no more than those.
+    pub fn moved(&mut self, now: Tenths, bytes: usize) {
+        let bytes = bytes.min(self.waiting as usize) as u32;
+        if bytes == 0 {
+            return;
+        }
+        self.pass_to(now / WINDOW);
+        self.moved[self.window as usize % WINDOWS] += bytes;
+        (self.taken, self.waiting) = (self.taken + bytes, self.waiting - bytes);
+        self.progress = self.progress.max(now);
+    }
+
+    /// So many have come of something whose end is not known yet: one byte more waits until it is cleared.
+    pub fn came(&mut self, now: Tenths, bytes: usize) {
+        self.add(now, bytes + usize::from(self.waiting == 0));
+        self.moved(now, bytes);
+    }
+
+    /// So many still wait: what is missing has moved.
+    pub fn left(&mut self, now: Tenths, bytes: usize) {
+        self.moved(now, (self.waiting as usize).saturating_sub(bytes));
+    }
+
+    /// Time in which nothing could move, and not by the peer's doing, does not count.
+    pub fn excuse(&mut self, span: Tenths) {
+        (self.since, self.progress) = (self.since + span, self.progress + span);
+    }
+
+    /// Nothing waits any more, for whatever reason.
+    pub fn clear(&mut self) {
+        self.waiting = 0;
+    }
+
+    /// Empties the windows between the last one written and this one.
+    fn pass_to(&mut self, window: i64) {
+        let passed = (window - self.window).clamp(0, WINDOWS as i64);
+        (1..=passed).for_each(|n| self.moved[(self.window + n) as usize % WINDOWS] = 0);
+        self.window = self.window.max(window);
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.waiting as usize
+    }
+
+    /// All that has moved since the wait began.
+    pub fn taken(&self) -> usize {
+        self.taken as usize
+    }
+
+    /// How long something has waited.
+    pub fn age(&self, now: Tenths) -> Tenths {
+        (now - self.since).max(0)
+    }
+
+    /// For how long nothing has moved.
+    pub fn still(&self, now: Tenths) -> Tenths {
+        (now - self.progress).max(0)
+    }
+
+    /// Bytes a second over the last windows, or since the wait began where that is shorter.
+    pub fn rate(&self, now: Tenths) -> u64 {
+        let window = now / WINDOW;
+        let oldest = window - (WINDOWS as i64 - 1);
+        let counted = |n: &i64| *n >= oldest && *n <= self.window && *n >= 0;
+        let in_windows = (0..WINDOWS as i64).map(|n| self.window - n).filter(counted);
+        let moved: u64 = in_windows.map(|n| u64::from(self.moved[n as usize % WINDOWS])).sum();
+        let span = (now - oldest * WINDOW).min(self.age(now)).max(1);
+        moved * 10_000 / span as u64
+    }
+
+    /// Bytes a second since the wait began.
+    pub fn mean(&self, now: Tenths) -> u64 {
+        u64::from(self.taken) * 10_000 / self.age(now).max(1) as u64
+    }
+}
