An operator's file in HCL, checked against a schema, whose faults name file, line and key

Need: what the platform's JSON has no word for, slow peers first, needs a place of its own, and a faulty key must be found without reading code.

Change: facts/ reads deploy/operator.hcl with hcl-rs, derives a JSON Schema from the types (schemars) and checks against it (jsonschema); every key is optional and goes above what follows from the limits. Not yet used by the gateway.

--- a/facts/src/key.rs
+++ b/facts/src/key.rs
@@ -112,3 +112,22 @@
         Ok(list.iter().enumerate().map(item).collect())
     }
 }
+
+/// The paths of all values that differ between two documents.
+pub fn compare(out: &mut Vec<String>, old: &Value, new: &Value) {
+    compare_at(out, &Key::root(old), &Key::root(new));
+}
+
+fn compare_at(out: &mut Vec<String>, one: &Key<'_>, two: &Key<'_>) {
+    let (old, new) = (one.value(), two.value());
+    let (Some(a), Some(b)) = (old.and_then(Value::as_object), new.and_then(Value::as_object)) else {
+        if old != new {
+            out.push(one.path().to_owned());
+        }
+        return;
+    };
+    let added = b.keys().filter(|name| !a.contains_key(*name));
+    for name in a.keys().chain(added) {
+        compare_at(out, &one.get(name), &two.get(name));
+    }
+}
--- a/facts/src/node.rs
+++ b/facts/src/node.rs
@@ -4,7 +4,8 @@
 
 use serde_json::Value;
 
-use crate::key::{Fault, Key};
+use crate::file;
+use crate::key::{Fault, Key, compare};
 use crate::settings::{self, Opened};
 
 /// What the machine allows the program.
@@ -35,26 +36,12 @@
     /// Keys of the file that another reading has found changed, whatever they are.
     pub fn changed(&self, again: &Node) -> Vec<String> {
         let mut out = Vec::new();
-        compare(&mut out, &Key::root(&self.document), &Key::root(&again.document));
+        compare(&mut out, &self.document, &again.document);
+        out.retain(|key| !ONLY_AT_START.contains(&key.as_str()));
         out
     }
 }
 
-fn compare(out: &mut Vec<String>, one: &Key<'_>, two: &Key<'_>) {
-    let (old, new) = (one.value(), two.value());
-    let (Some(a), Some(b)) = (old.and_then(Value::as_object), new.and_then(Value::as_object)) else {
-        if old != new {
-            out.push(one.path().to_owned());
-        }
-        return;
-    };
-    let at_start = |name: &&String| one.path().is_empty() && ONLY_AT_START.contains(&name.as_str());
-    let added = b.keys().filter(|name| !a.contains_key(*name));
-    for name in a.keys().chain(added).filter(|name| !at_start(name)) {
-        compare(out, &one.get(name), &two.get(name));
-    }
-}
-
 /// Reads the environment that `var` looks up, and the file that it names. A variable that is set goes before
 /// the key of the file that says the same.
 pub fn from_environment(var: impl Fn(&str) -> Option<String>) -> Result<Node, Fault> {
@@ -70,8 +57,7 @@
 
 /// Reads a file as it stands; `var` looks up the variable beside a key.
 pub fn from_file(path: &str, var: impl Fn(&str, &Key<'_>) -> Option<String>) -> Result<Node, Fault> {
-    let text = std::fs::read(path)
-        .map_err(|e| Fault::new(format!("NODE_CONFIG: expected a readable file, but {path}: {e}")))?;
+    let text = file::read("NODE_CONFIG", path)?;
     let mut document: Value = serde_json::from_slice(&text)
         .map_err(|e| Fault::new(format!("NODE_CONFIG: expected a file of JSON, but {e}")))?;
     let known = document.get_mut("known").map(Value::take).filter(|known| !known.is_null());
--- /dev/null
+++ b/facts/src/operator.rs
@@ -0,0 +1,249 @@
+//! The operator's own file: what the platform's configuration has no word for, in HCL.
+//!
+//! Every key may be absent; what is said is checked against the schema that is derived from the types here, and
+//! a fault names file, line, key and what was expected.
+
+use std::collections::BTreeMap;
+
+use hcl_edit::Span as _;
+use hcl_edit::structure::Body;
+use leverpoint_pace::{Caps, Tenths};
+use schemars::JsonSchema;
+use schemars::generate::SchemaSettings;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::file;
+use crate::key::Fault;
+
+/// The blocks of the file.
+#[derive(Debug, Default, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+struct Blocks {
+    slow: Slow,
+}
+
+/// Peers that read or write slowly. What is not said follows from the limits and the settings.
+#[derive(Debug, Default, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+struct Slow {
+    /// Whether peers are judged at all; without it all are served in the order of coming.
+    #[schemars(extend("x-expected" = "true or false"))]
+    caps: Option<bool>,
+    /// Bytes a second below which a peer is let go once nothing is owed to it.
+    least_rate: Option<Rate>,
+    /// How long a first burst, or a message under way, is not judged.
+    grace: Option<Span>,
+    /// A peer that takes nothing for so long stands still.
+    stall: Option<Span>,
+    /// Messages up to this length are given twice the grace.
+    small: Option<Bytes>,
+    /// Bytes taken at a good rate that make a peer a usual one.
+    proof: Option<Bytes>,
+    /// Held for one peer at most, in each direction.
+    one_peer: Option<Bytes>,
+    /// Held for those of one customer that have proved nothing, in each direction.
+    customer: Option<Bytes>,
+    /// Held for all slow peers together, in each direction.
+    slow: Option<Bytes>,
+    /// Held for all that have proved nothing, the slow ones among them, in each direction.
+    newcomers: Option<Bytes>,
+    /// Held for all peers together, in each direction.
+    all: Option<Bytes>,
+    /// Slow connections beyond which no usual one makes room for another.
+    #[schemars(range(min = 1, max = 1_000_000), extend("x-expected" = "a whole number from 1 to 1000000"))]
+    connections: Option<u32>,
+    /// When one that is sent back should come again, between once and twice of it.
+    come_back: Option<Span>,
+    /// How long a server may take to be ready after a whole row.
+    after_row: Option<Span>,
+    /// The send and the receive buffer that the kernel is asked for, a connection.
+    kernel: Option<Bytes>,
+}
+
+/// Number and unit, one after the other.
+macro_rules! unit {
+    ($name:ident, $of:ty, $pattern:literal, $expected:literal, $units:expr) => {
+        #[derive(Debug, Clone, Deserialize, Serialize, JsonSchema)]
+        #[schemars(transparent, inline, extend("pattern" = $pattern, "x-expected" = $expected))]
+        struct $name(String);
+
+        impl $name {
+            /// The pattern has been checked.
+            fn value(&self) -> $of {
+                let at = self.0.find(|c: char| !c.is_ascii_digit()).unwrap_or(self.0.len());
+                let (number, unit) = self.0.split_at(at);
+                let units: &[(&str, $of)] = $units;
+                let scale = units.iter().find(|(name, _)| *name == unit).map_or(1, |(_, scale)| *scale);
+                number.parse::<$of>().unwrap_or_default() * scale
+            }
+        }
+    };
+}
+
+unit!(
+    Rate,
+    u64,
+    "^[1-9][0-9]{0,5}(B|KiB|MiB)/s$",
+    "a rate like \"8KiB/s\", in B/s, KiB/s or MiB/s",
+    &[("B/s", 1), ("KiB/s", 1 << 10), ("MiB/s", 1 << 20)]
+);
+unit!(
+    Bytes,
+    usize,
+    "^[1-9][0-9]{0,5}(B|KiB|MiB)$",
+    "a size like \"128KiB\", in B, KiB or MiB",
+    &[("B", 1), ("KiB", 1 << 10), ("MiB", 1 << 20)]
+);
+unit!(
+    Span,
+    Tenths,
+    "^[1-9][0-9]{0,5}(ms|s|m)$",
+    "a time like \"250ms\", in ms, s or m",
+    &[("ms", 10), ("s", 10_000), ("m", 600_000)]
+);
+
+/// The file as read, or as absent.
+#[derive(Debug, Default)]
+pub struct Operator {
+    file: String,
+    document: Value,
+    /// Lines of keys, by their paths.
+    lines: BTreeMap<String, usize>,
+    blocks: Blocks,
+}
+
+/// What the file may hold, as JSON Schema.
+pub fn schema() -> Value {
+    let with = SchemaSettings::draft2020_12().with(|s| s.inline_subschemas = true);
+    with.into_generator().into_root_schema_for::<Blocks>().to_value()
+}
+
+/// Reads a file, whole and checked.
+pub fn from_file(path: &str) -> Result<Operator, Fault> {
+    let text = file::read("--operator", path)?;
+    let text =
+        String::from_utf8(text).map_err(|_| Fault::new(format!("{path}: expected a file of UTF-8")))?;
+    from_text(path, &text)
+}
+
+pub fn from_text(path: &str, text: &str) -> Result<Operator, Fault> {
+    let body: Body = hcl_edit::parser::parse_body(text).map_err(|e| {
+        Fault::new(format!("{path}:{}: expected HCL, but {}", e.location().line(), e.message()))
+    })?;
+    let mut operator = Operator { file: path.to_owned(), ..Operator::default() };
+    find_lines(&mut operator.lines, text, "", &body);
+    operator.document =
+        hcl::from_body(hcl::Body::from(body)).map_err(|e| Fault::new(format!("{path}: {e}")))?;
+    let schema = schema();
+    let checks = jsonschema::validator_for(&schema).map_err(|e| Fault::new(e.to_string()))?;
+    if let Some(first) = checks.iter_errors(&operator.document).next() {
+        let at = first.instance_path().to_string();
+        return Err(operator.misses(&schema, &at));
+    }
+    operator.blocks =
+        serde_json::from_value(operator.document.clone()).map_err(|e| Fault::new(format!("{path}: {e}")))?;
+    Ok(operator)
+}
+
+fn find_lines(lines: &mut BTreeMap<String, usize>, text: &str, within: &str, body: &Body) {
+    let line = |span: Option<std::ops::Range<usize>>| {
+        1 + text[..span.map_or(0, |s| s.start)].bytes().filter(|b| *b == b'\n').count()
+    };
+    for attribute in body.attributes() {
+        lines.insert(format!("{within}/{}", attribute.key.as_str()), line(attribute.key.span()));
+    }
+    for block in body.blocks() {
+        let path = format!("{within}/{}", block.ident.as_str());
+        lines.entry(path.clone()).or_insert_with(|| line(block.ident.span()));
+        find_lines(lines, text, &path, &block.body);
+    }
+}
+
+impl Operator {
+    fn fault(&self, path: &str, expected: &str) -> Fault {
+        let line = self.lines.get(path).map_or(String::new(), |line| format!("{line}:"));
+        let key = path.trim_start_matches('/').replace('/', ".");
+        let found = match self.document.pointer(path) {
+            Some(Value::Object(_)) => "a block".to_owned(),
+            Some(Value::Array(_)) => "several blocks or a list".to_owned(),
+            Some(value) => format!("{value:.60}"),
+            None => "nothing".to_owned(),
+        };
+        Fault::new(format!("{}:{line} {key}: expected {expected}, found {found}", self.file))
+    }
+
+    /// What the value at a path should have been, or which of its keys should not be there.
+    fn misses(&self, schema: &Value, at: &str) -> Fault {
+        let mut wanted = schema;
+        for name in at.split('/').skip(1) {
+            wanted = &wanted["properties"][name];
+        }
+        let known = wanted["properties"].as_object();
+        if let (Some(known), Some(Value::Object(has))) = (known, self.document.pointer(at)) {
+            let stranger = has.keys().find(|key| !known.contains_key(*key));
+            let names: Vec<_> = known.keys().map(String::as_str).collect();
+            if let Some(key) = stranger {
+                return self.fault(&format!("{at}/{key}"), &format!("one of {}", names.join(", ")));
+            }
+        }
+        let expected = wanted["x-expected"].as_str().unwrap_or("one block without labels");
+        self.fault(at, expected)
+    }
+
+    /// The figures for slow peers: what follows from the limits, and above it what the file says. `longest` is
+    /// the longest message that is taken.
+    pub fn caps(&self, from: Caps, longest: usize) -> Result<Caps, Fault> {
+        let said = &self.blocks.slow;
+        let bytes = |said: &Option<Bytes>, or: usize| said.as_ref().map_or(or, Bytes::value);
+        let span = |said: &Option<Span>, or: Tenths| said.as_ref().map_or(or, Span::value);
+        let all = bytes(&said.all, from.all);
+        // A smaller whole makes its parts smaller, unless they are said as well.
+        let newcomers = bytes(&said.newcomers, from.newcomers.min(all));
+        let caps = Caps {
+            on: said.caps.unwrap_or(from.on),
+            least_rate: said.least_rate.as_ref().map_or(from.least_rate, Rate::value),
+            grace: span(&said.grace, from.grace),
+            stall: span(&said.stall, from.stall),
+            small: bytes(&said.small, from.small),
+            proof: bytes(&said.proof, from.proof),
+            one_peer: bytes(&said.one_peer, from.one_peer),
+            customer: bytes(&said.customer, from.customer.min(newcomers)),
+            slow: bytes(&said.slow, from.slow.min(newcomers)),
+            newcomers,
+            all,
+            connections: said.connections.map_or(from.connections, |n| n as usize),
+            come_back: span(&said.come_back, from.come_back),
+            after_row: span(&said.after_row, from.after_row),
+            kernel: bytes(&said.kernel, from.kernel),
+        };
+        let parts = [
+            ("one_peer", caps.one_peer),
+            ("customer", caps.customer),
+            ("slow", caps.slow),
+            ("newcomers", caps.newcomers),
+            ("all", caps.all),
+        ];
+        for (key, value) in parts {
+            let path = format!("/slow/{key}");
+            if value < longest {
+                let most = format!("at least {longest}B, the longest message");
+                return Err(self.fault(&path, &most));
+            }
+            if value > caps.all {
+                return Err(self.fault(&path, &format!("at most slow.all, {}B", caps.all)));
+            }
+        }
+        if caps.slow > caps.newcomers {
+            return Err(self.fault("/slow/slow", &format!("at most slow.newcomers, {}B", caps.newcomers)));
+        }
+        Ok(caps)
+    }
+
+    /// Keys that another reading has found changed.
+    pub fn changed(&self, again: &Operator) -> Vec<String> {
+        let mut out = Vec::new();
+        crate::key::compare(&mut out, &self.document, &again.document);
+        out
+    }
+}
--- /dev/null
+++ b/facts/tests/operator.rs
@@ -0,0 +1,57 @@
+//! The operator's file: what it comes to, and the one line that a fault is worth.
+
+use leverpoint_facts::operator::{self, Operator};
+use leverpoint_pace::Caps;
+use leverpoint_pace::caps::Limits;
+
+const LONGEST: usize = 136 << 10;
+
+fn limits() -> Caps {
+    let (memory, sockets) = (32 << 20, 1_024);
+    Caps::from_limits(&Limits { memory, sockets, unclaimed: 8 << 10, longest: LONGEST, connect: 2_500 })
+}
+
+fn read(text: &str) -> Result<Operator, String> {
+    operator::from_text("operator.hcl", text).map_err(|fault| fault.to_string())
+}
+
+#[test]
+fn what_is_said_goes_above_what_follows_from_the_limits() {
+    assert_eq!(read("").unwrap().caps(limits(), LONGEST).unwrap(), limits());
+    let text = "# phones\nslow {\n  least_rate = \"4KiB/s\"\n  grace = \"1500ms\"\n  stall = \"2s\"\n  all = \"2MiB\"\n}\n";
+    let caps = read(text).unwrap().caps(limits(), LONGEST).unwrap();
+    assert_eq!((caps.least_rate, caps.grace, caps.stall), (4 << 10, 15_000, 20_000));
+    assert!(caps.newcomers <= caps.all && caps.slow <= caps.newcomers && caps.all == 2 << 20);
+}
+
+#[test]
+fn a_fault_is_one_line_with_file_line_key_and_what_was_expected() {
+    let texts = [
+        "slow {\n  least_rate = \"8KiB\"\n}",
+        "slow {\n  grace = 2\n}",
+        "slow {\n\n  leastrate = \"8KiB/s\"\n}",
+        "slow {}\nfast {}",
+        "slow {}\nslow {}",
+        "slow = 3",
+        "slow \"phones\" {}",
+        "slow {\n  connections = 0\n}",
+        "slow {\n  caps = \"no\"\n}",
+        "slow {\n  grace = \"2s\"\n",
+        "slow {\n  one_peer = \"64KiB\"\n}",
+        "slow {\n  newcomers = \"1MiB\"\n  slow = \"2MiB\"\n}",
+        "slow {\n  all = \"2MiB\"\n  customer = \"3MiB\"\n}",
+    ];
+    let mut out = String::new();
+    for text in texts {
+        let read = read(text).and_then(|o| o.caps(limits(), LONGEST).map_err(|f| f.to_string()));
+        out += &format!("{}\n", read.expect_err(text).lines().next().unwrap_or_default());
+    }
+    insta::assert_snapshot!(out);
+}
+
+#[test]
+fn another_reading_tells_what_has_changed() {
+    let one = read("slow {\n  grace = \"2s\"\n  kernel = \"16KiB\"\n}").unwrap();
+    let two = read("slow {\n  grace = \"3s\"\n  stall = \"1s\"\n  kernel = \"16KiB\"\n}").unwrap();
+    assert_eq!(one.changed(&two), ["slow.grace", "slow.stall"]);
+}
