--- a/facts/src/operator.rs
+++ b/facts/src/operator.rs
@@ -161,6 +161,11 @@
 }
 
 impl Operator {
+    /// The file's path, where there is one.
+    pub fn file(&self) -> Option<&str> {
+        Some(self.file.as_str()).filter(|file| !file.is_empty())
+    }
+
     fn fault(&self, path: &str, expected: &str) -> Fault {
         let line = self.lines.get(path).map_or(String::new(), |line| format!("{line}:"));
         let key = path.trim_start_matches('/').replace('/', ".");
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -4,18 +4,25 @@
 //! command twice, leave one without an answer while the client is there, or close a connection that has
 //! something read or readable on it. Servers are not known here.
 
+use std::future::poll_fn;
 use std::io::{self, ErrorKind};
+use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
+use leverpoint::interface::Tenths;
+use leverpoint_facts::settings::span;
+
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::counters::add;
 use crate::descriptors::{Claim, Leaving, Shown};
-use crate::exchange::{Exchange, Final};
+use crate::exchange::{Exchange, Final, Refused};
 use crate::message::{self, Read};
-use crate::ring::{Link, Memory, Room};
+use crate::peers::{Kind as Held, Peer, Peers, Room};
+use crate::ring::Link;
 use crate::statement::{self, Kind};
 
 /// In this time a client has to say its startup packet whole, and later any message that it has begun: a bad
@@ -25,18 +32,31 @@
 struct Client {
     link: Link,
     exchange: Rc<Exchange>,
-    /// The longest that a client may take to take an answer.
+    /// The longest client timeout.
     patience: Duration,
-    memory: Rc<Memory>,
+    peer: Rc<Peer>,
     /// Else there is no room for one more, and its first command is sent back untouched.
     stays: bool,
     _claim: Claim,
 }
 
+/// What a client is owed with what is written.
+struct Owed {
+    /// Its client timeout.
+    until: Instant,
+    /// Where it is a row: of which command group.
+    group: Option<usize>,
+    rooms: Vec<Room>,
+}
+
 /// What a wait for more of a message has come to.
 enum Came {
     Bytes,
     Nothing,
+    /// There was no room for what is still to come.
+    NoRoom,
+    /// It is let go.
+    LetGo,
     /// It is to leave in order.
     Leave,
     /// It has never asked anything and makes room for others, at once.
@@ -53,7 +73,7 @@
 pub async fn serve(
     stream: TcpStream,
     exchange: Rc<Exchange>,
-    memory: Rc<Memory>,
+    peers: Rc<Peers>,
     leaving: Rc<Leaving>,
     claim: Claim,
     stays: bool,
@@ -61,9 +81,14 @@
     add(&exchange.counters.clients.opened);
     let patience = exchange.longest_timeout();
     let link = Link::new(stream);
-    let mut client = Client { link, exchange, patience, memory, stays, _claim: claim };
+    let peer = peers.enter(link.stream());
+    let mut client = Client { link, exchange, patience, peer, stays, _claim: claim };
     // However it ends, it ends here; what was out for it is told to the exchange by its ticket.
     let _ = client.serve(&leaving).await;
+    if client.peer.is_let_go() {
+        // What stands in the kernel for it goes as well.
+        client.link.discard();
+    }
 }
 
 /// What comes of it in that time; a time-out is an error like the others.
@@ -71,6 +96,21 @@
     timeout(span, future).await.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))
 }
 
+/// What a future has come to without waiting, if anything.
+async fn poll_once<F: Future + Unpin>(mut future: F) -> Option<F::Output> {
+    poll_fn(|cx| match Pin::new(&mut future).poll(cx) {
+        Poll::Ready(output) => Poll::Ready(Some(output)),
+        Poll::Pending => Poll::Ready(None),
+    })
+    .await
+}
+
+/// Appends that a command is not taken, and the milliseconds to come back in, unless they are 0.
+fn throttled(out: &mut Vec<u8>, ms: u64) {
+    let detail = (ms > 0).then(|| ms.to_string());
+    message::error(out, false, "53300", "throttled", detail.as_deref());
+}
+
 impl Client {
     async fn serve(&mut self, leaving: &Leaving) -> io::Result<()> {
         let began = Instant::now();
@@ -88,34 +128,47 @@
         let mut shown = Shown::Startup;
         let mut skipping = false;
         let mut room = None;
-        // By when the message that is being read must be whole.
-        let mut due = None;
+        // By when the message that is being read must be whole, or has kept its rate.
+        let mut due: Option<Instant> = None;
         loop {
             let (tag, body) = match message::next(&mut self.link.input) {
                 Read::Message(tag, body) => (tag, body),
                 Read::Long => return self.part("54000", "the message is longer than is taken").await,
                 Read::Broken => return self.part("08P01", "a message of impossible length").await,
                 Read::Short(length) => {
-                    if !self.link.input.is_empty() {
-                        due = due.or(Some(Instant::now() + SHOWN_WITHIN));
+                    let now = Instant::now();
+                    if !self.link.input.is_empty() && due.is_none() {
+                        self.peer.came(self.link.input.len());
+                        due = Some(now + SHOWN_WITHIN);
                     }
-                    let since = if shown == Shown::Startup { began } else { Instant::now() };
+                    let since = if shown == Shown::Startup { began } else { now };
                     match self.more(length, &mut room, due, leaving, (shown, since)).await? {
                         Came::Bytes => continue,
-                        Came::Nothing => return self.part("08P01", "no whole message in time").await,
+                        Came::Nothing => match self.peer.half_said() {
+                            next @ Some(_) => {
+                                due = next;
+                                continue;
+                            }
+                            None => return self.part("08P01", "no whole message in time").await,
+                        },
+                        Came::NoRoom => return self.part("53300", "no room for the message").await,
+                        Came::LetGo => return self.part("08P01", "too slow, and room is short").await,
                         Came::Leave => return self.leave().await,
                         Came::MakeRoom => return Ok(()),
                     }
                 }
             };
-            (due, shown) = (None, Shown::Message);
+            shown = Shown::Message;
+            if due.take().is_some() {
+                self.peer.whole();
+            }
             self.link.expect_usual();
             let room = room.take();
             match tag {
                 b'X' => return Ok(()),
                 b'S' => {
                     skipping = false;
-                    self.conclude(Vec::new()).await?;
+                    self.conclude(Vec::new(), None).await?;
                 }
                 _ if skipping => {}
                 b'Q' => {
@@ -149,13 +202,25 @@
             leaving.one_more_idle(self.exchange.open());
         }
         let may_leave = self.stays && (idle || (shown == Shown::Startup && !leaving.all()));
+        let before = self.link.input.len();
         let bytes = async {
-            self.link.expect(length, &self.memory, room).await;
-            self.link.read().await
+            let wanted = self.link.expect(length, &self.peer, Held::Statement, room);
+            match timeout(SHOWN_WITHIN, wanted).await {
+                Ok(Duration::ZERO) => {}
+                // Not read meanwhile, and not by its own doing.
+                Ok(waited) => self.peer.excuse(waited),
+                Err(_) => return Ok(Came::NoRoom),
+            }
+            let n = self.link.read().await?;
+            if before > 0 {
+                self.peer.came(n);
+            }
+            Ok(Came::Bytes)
         };
         tokio::select! {
             biased;
-            read = bytes => read.map(|_| Came::Bytes),
+            came = bytes => came,
+            _ = self.peer.gone() => Ok(Came::LetGo),
             _ = leaving.asked(shown, since), if may_leave => Ok(match shown {
                 // One that has begun to ask something is heard, unless it is one of too many.
                 _ if leaving.all() && !idle => Came::Bytes,
@@ -211,11 +276,11 @@
                     return self.refuse("57P03", "no list of servers yet", true).await;
                 }
                 message::put(&mut out, b'I', &[]);
-                return self.conclude(out).await;
+                return self.conclude(out, None).await;
             }
             Ok(Kind::Session(word)) => {
                 message::put(&mut out, b'C', &[word.as_bytes(), b"\0"]);
-                return self.conclude(out).await;
+                return self.conclude(out, None).await;
             }
             Ok(Kind::Command(said)) => said,
             Err((code, why)) => return self.refuse(code, &why, true).await,
@@ -225,12 +290,16 @@
             message::error(&mut out, true, "53300", "too many connections", None);
             return self.write(&out).await;
         }
-        let ticket = match self.exchange.arrived(&said, text) {
+        let ticket = match self.exchange.arrived(&said, text, &self.peer) {
             Ok(ticket) => ticket,
-            Err((code, why)) => return self.refuse(code, &why, true).await,
+            Err(Refused::Bad(code, why)) => return self.refuse(code, &why, true).await,
+            Err(Refused::Throttled(ms, until)) => {
+                throttled(&mut out, ms);
+                return self.conclude(out, Some(Owed { until, group: None, rooms: Vec::new() })).await;
+            }
         };
         drop(body);
-        let until = ticket.until;
+        let (until, group) = (ticket.until, ticket.group);
         tokio::pin!(ticket);
         let answer = loop {
             tokio::select! {
@@ -241,31 +310,58 @@
                 read = self.link.read() => { read?; }
             }
         };
-        let mut rooms = Vec::new();
+        let mut owed = Owed { until, group: None, rooms: Vec::new() };
         match answer {
             Final::Answered(row) => {
                 out = row.messages;
-                rooms = row.rooms;
-            }
-            Final::Throttled(0) => message::error(&mut out, false, "53300", "throttled", None),
-            Final::Throttled(ms) => {
-                message::error(&mut out, false, "53300", "throttled", Some(&ms.to_string()));
+                (owed.group, owed.rooms) = (Some(group), row.rooms);
             }
+            Final::Throttled(ms) => throttled(&mut out, ms),
             Final::Failed => message::error(&mut out, false, "58000", "no server has answered", None),
         }
-        let wrote = self.conclude(out).await;
-        drop(rooms);
-        wrote
+        self.conclude(out, Some(owed)).await
     }
 
+    /// What belongs to no command is owed for as long as its client may take to show itself.
     async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        within(self.patience, self.link.write(&[bytes], &mut 0)).await
+        let until = Instant::now() + SHOWN_WITHIN;
+        self.write_owed(bytes, Owed { until, group: None, rooms: Vec::new() }).await
+    }
+
+    /// Writes; it ends early where the peer is let go. Rooms are held until all has been taken.
+    async fn write_owed(&mut self, bytes: &[u8], owed: Owed) -> io::Result<()> {
+        let peer = &self.peer;
+        let caps = peer.caps();
+        peer.answers(owed.group, bytes.len(), owed.until);
+        let parts = [bytes];
+        let mut writing = pin!(self.link.write(&parts, &peer.wrote));
+        // Most are written at once, and nothing of what follows is needed.
+        let lingers = match poll_once(writing.as_mut()).await {
+            Some(wrote) => wrote.map(|()| false)?,
+            None => true,
+        };
+        if lingers {
+            peer.lingers();
+            // Whoever keeps the least rate is done by then.
+            let longest = span((message::LONGEST as u64 * 10_000 / caps.least_rate.max(1)) as Tenths);
+            let by = self.patience + if caps.on { longest } else { Duration::ZERO };
+            tokio::select! {
+                biased;
+                wrote = timeout(by, writing) => wrote.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))?,
+                _ = peer.gone() => return Err(ErrorKind::TimedOut.into()),
+            }
+        }
+        peer.written(owed.rooms);
+        Ok(())
     }
 
     /// Writes what is said and that the next message may come.
-    async fn conclude(&mut self, mut out: Vec<u8>) -> io::Result<()> {
+    async fn conclude(&mut self, mut out: Vec<u8>, owed: Option<Owed>) -> io::Result<()> {
         message::ready(&mut out);
-        self.write(&out).await
+        match owed {
+            Some(owed) => self.write_owed(&out, owed).await,
+            None => self.write(&out).await,
+        }
     }
 
     /// An error after which the connection goes on.
@@ -273,7 +369,7 @@
         add(&self.exchange.counters.bad_messages);
         let mut out = Vec::new();
         message::error(&mut out, false, code, why, None);
-        if ready { self.conclude(out).await } else { self.write(&out).await }
+        if ready { self.conclude(out, None).await } else { self.write(&out).await }
     }
 
     /// An error with which the connection ends.
--- a/gateway/src/descriptors.rs
+++ b/gateway/src/descriptors.rs
@@ -10,6 +10,8 @@
 use tokio::task::yield_now;
 use tokio::time::Instant;
 
+use crate::peers::Peers;
+
 /// Descriptors beside connections of clients and servers: three standard streams, two that a starter may
 /// leave open, five of the runtime and its signals, the listening socket, a connection accepted but not
 /// claimed for yet, the agent's old connection and a new one; fourteen counted, and two to spare.
@@ -129,6 +131,7 @@
     all: Cell<bool>,
     strangers: Waiting,
     idle: Waiting,
+    peers: Rc<Peers>,
     /// Connections that may stay between commands, with those that have one open.
     most: usize,
 }
@@ -166,15 +169,15 @@
 impl Leaving {
     /// Clients hold a third of the descriptors for commands at most, as the platform says. Half of that is
     /// kept free for new ones: who asks once and holds on would else keep all others from coming at all.
-    pub fn new(sockets: usize) -> Rc<Self> {
+    pub fn new(sockets: usize, peers: Rc<Peers>) -> Rc<Self> {
         let (strangers, idle, most) = (Waiting::default(), Waiting::default(), sockets / 6);
-        Rc::new(Leaving { all: Cell::new(false), strangers, idle, most })
+        Rc::new(Leaving { all: Cell::new(false), strangers, idle, peers, most })
     }
 
     /// One more becomes idle while so many have a command open: if that is too many, the longest idle leaves.
     pub fn one_more_idle(&self, open: usize) {
         if self.idle.queue.borrow().len() + open >= self.most {
-            self.idle.ask_first();
+            self.ask_slow_or_idle();
         }
     }
 
@@ -206,6 +209,14 @@
 
     /// Whether there is one to ask.
     fn ask_one(&self) -> bool {
-        self.strangers.ask_first() || self.idle.ask_first()
+        self.strangers.ask_first() || self.ask_slow_or_idle()
+    }
+
+    /// A slow one goes before any idle one, and no idle one makes room for many slow ones.
+    fn ask_slow_or_idle(&self) -> bool {
+        match self.peers.make_room() {
+            Ok(()) => true,
+            Err(idle_may_go) => idle_may_go && self.idle.ask_first(),
+        }
     }
 }
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -156,15 +156,15 @@
             format!("GET {path} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.address);
         // A connection kept from the last ask may have been closed meanwhile: then once more on a new one.
         if let Some(mut link) = self.link.take()
-            && link.write(&[ask.as_bytes()], &mut 0).await.is_ok()
+            && link.write(&[ask.as_bytes()], &Cell::new(0)).await.is_ok()
         {
             match self.answer(link).await {
                 Err(e) if e.kind() == ErrorKind::UnexpectedEof || e.kind() == ErrorKind::ConnectionReset => {}
                 answer => return answer,
             }
         }
-        let mut link = Link::connect(self.address).await?;
-        link.write(&[ask.as_bytes()], &mut 0).await?;
+        let mut link = Link::connect(self.address, None).await?;
+        link.write(&[ask.as_bytes()], &Cell::new(0)).await?;
         self.answer(link).await
     }
 
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -28,7 +28,7 @@
 
 use crate::counters::{Counters, add};
 use crate::fault::{Cause, Fault, Reached};
-use crate::ring::Room;
+use crate::peers::{Peer, Room};
 use crate::statement::Said;
 
 /// Unix time, read once; from then on it only goes forward.
@@ -75,6 +75,15 @@
     pub rooms: Vec<Room>,
 }
 
+/// Why a command is not taken.
+#[derive(Debug)]
+pub enum Refused {
+    /// A code and a text.
+    Bad(&'static str, String),
+    /// Its client is to come back after so many milliseconds; until when that answer is owed.
+    Throttled(u64, Instant),
+}
+
 pub enum Final {
     Answered(Row),
     /// Milliseconds after which to come back; 0 gives no advice.
@@ -113,6 +122,8 @@
     pub address: SocketAddr,
     /// None for a probe.
     pub statement: Option<Rc<Statement>>,
+    /// Whom the answer is for, as far as room for it goes; none for a probe.
+    pub peer: Option<Rc<Peer>>,
     pub wait: Tenths,
     pub until: Instant,
     pub called_off: Rc<Notify>,
@@ -217,6 +228,7 @@
     id: Box<str>,
     statement: Rc<Statement>,
     answer: Option<oneshot::Sender<Final>>,
+    peer: Rc<Peer>,
     dispatches: u32,
     out: Vec<(u32, Rc<Notify>)>,
 }
@@ -268,6 +280,7 @@
     cmd: usize,
     answer: oneshot::Receiver<Final>,
     done: bool,
+    pub group: usize,
     /// When even a late answer no longer counts; the module has answered long before.
     pub until: Instant,
 }
@@ -343,30 +356,42 @@
     }
 
     /// Takes a command that a client has sent whole.
-    pub fn arrived(self: &Rc<Self>, said: &Said<'_>, text: &str) -> Result<Ticket, (&'static str, String)> {
-        let unknown = |what: &str, name: &str| ("22023", format!("{what}: {name:.40} is not known here"));
+    pub fn arrived(self: &Rc<Self>, said: &Said<'_>, text: &str, peer: &Rc<Peer>) -> Result<Ticket, Refused> {
+        let bad = |code, why: String| Refused::Bad(code, why);
+        let unknown = |what: &str, name: &str| bad("22023", format!("{what}: {name:.40} is not known here"));
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let group = place(&self.opened.groups, said.group).ok_or_else(|| unknown("c", said.group))?;
         let customer = match said.customer {
             _ if self.opened.customers.is_empty() => 0,
             Some(name) => place(&self.opened.customers, name).ok_or_else(|| unknown("t", name))?,
-            None => return Err(("22023", "t: expected a customer".into())),
+            None => return Err(bad("22023", "t: expected a customer".into())),
         };
         let facts = &self.opened.facts.groups[group];
         let write = facts.need == Need::Write;
         if write != said.write {
-            return Err(("22023", format!("c: {} does not fit the statement", said.group)));
+            return Err(bad("22023", format!("c: {} does not fit the statement", said.group)));
         }
         let keyed = matches!(facts.effect, Effects::Keyed { .. });
         if keyed && !said.keyed {
-            return Err(("22023", format!("k: expected an idempotency key for {}", said.group)));
+            return Err(bad("22023", format!("k: expected an idempotency key for {}", said.group)));
         }
         let mut guard = self.inner.borrow_mut();
         let inner = &mut *guard;
         let set = inner.sets.find(&said.set).ok_or_else(|| unknown("cluster", &said.set.to_string()))?;
-        if !inner.open.insert(said.id.into()) {
-            return Err(("42710", "id: expected a new one, found that of an open command".into()));
+        if inner.open.contains(said.id) {
+            return Err(bad("42710", "id: expected a new one, found that of an open command".into()));
         }
+        let wait = down(said.wait).min(facts.timeout);
+        let ends = self.clock.now_rounded_down() + wait;
+        let until = self.clock.instant(ends + self.opened.answer_slack);
+        if let Err(come_back) = peer.admit(group, customer, until) {
+            self.counters.taken(group);
+            add(&self.counters.throttled);
+            let allowed = &self.opened.facts.allowed;
+            let come_back = if allowed.come_back { come_back.min(allowed.longest_come_back) } else { 0 };
+            return Err(Refused::Throttled(come_back as u64 / 10, until));
+        }
+        inner.open.insert(said.id.into());
         let session = match facts.need {
             Need::Write => Some(inner.sessions.writes(said.key.into())),
             Need::Session => Some(inner.sessions.reads(said.key.into())),
@@ -382,6 +407,7 @@
                 write,
             }),
             answer: Some(answer),
+            peer: peer.clone(),
             dispatches: 0,
             out: Vec::new(),
         };
@@ -394,20 +420,18 @@
         };
         inner.commands[cmd] = Some(running);
         self.counters.taken(group);
-        let wait = down(said.wait).min(facts.timeout);
         let arrival = Arrival {
             cmd,
             group,
             customer,
             set,
             session,
-            ends: self.clock.now_rounded_down() + wait,
+            ends,
             token: said.after.filter(|&at| at > 0.0).map(up),
             repeat: said.repeat,
         };
         drop(guard);
-        let until = self.clock.instant(arrival.ends + self.opened.answer_slack);
-        let ticket = Ticket { exchange: self.clone(), cmd, answer: receiver, done: false, until };
+        let ticket = Ticket { exchange: self.clone(), cmd, answer: receiver, done: false, group, until };
         self.take(Event::Arrived(arrival));
         Ok(ticket)
     }
@@ -547,22 +571,23 @@
         running.held.out += 1;
         let called_off = Rc::new(Notify::new());
         running.out.push((nth, called_off.clone()));
-        let statement = running.statement.clone();
+        let command = Some((running.statement.clone(), running.peer.clone()));
         drop(inner);
-        self.order(Errand::Dispatch { cmd, nth }, server, Some(statement), timeout, called_off);
+        self.order(Errand::Dispatch { cmd, nth }, server, command, timeout, called_off);
     }
 
     fn order(
         self: &Rc<Self>,
         errand: Errand,
         server: usize,
-        statement: Option<Rc<Statement>>,
+        command: Option<(Rc<Statement>, Rc<Peer>)>,
         wait: Tenths,
         called_off: Rc<Notify>,
     ) {
         let sent = self.clock.now();
         let address = self.inner.borrow().places.get(server).and_then(|p| p.address);
         let until = self.clock.instant(sent + wait);
+        let (statement, peer) = command.unzip();
         let mut order = Order {
             exchange: self.clone(),
             sent,
@@ -571,6 +596,7 @@
             server,
             address: address.unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0))),
             statement,
+            peer,
             wait,
             until,
             called_off,
--- a/gateway/src/fault.rs
+++ b/gateway/src/fault.rs
@@ -20,6 +20,8 @@
     /// What came back is not the protocol.
     Garbled,
     TimedOut,
+    /// What came could not be whole before the dispatch's wait ends: of no use, like what is not the protocol.
+    Trickled,
     CalledOff,
     /// The server has said that it takes no more connections.
     TurnedAway,
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,4 +1,4 @@
-//! Owns the command line and the log: `leverpoint serve`, `version` and `check FILE`.
+//! Owns the command line and the log: `leverpoint serve`, `version` and `check`.
 //!
 //! It reads nothing itself but the words it was started with, and decides nothing.
 
@@ -9,6 +9,7 @@
 mod exchange;
 mod fault;
 mod message;
+mod peers;
 mod ring;
 mod serve;
 mod servers;
@@ -19,23 +20,40 @@
 use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use bpaf::{OptionParser, Parser, construct, positional, pure};
+use bpaf::{OptionParser, Parser, construct, long, positional, pure};
+use leverpoint_facts::Fault;
 use leverpoint_facts::node::{self, Node};
+use leverpoint_facts::operator::{self, Operator};
 use slog::{Drain, KV, Logger, OwnedKVList, Record, o};
 
 #[derive(Clone, Debug)]
 enum Asked {
-    Serve,
+    Serve { operator: Option<String>, json: bool },
     Version,
-    Check(String),
+    Check { file: String, operator: Option<String> },
+    Schema,
+}
+
+fn operators_file() -> impl Parser<Option<String>> {
+    let file = long("operator").help("The operator's own file, in HCL").argument::<String>("FILE");
+    file.optional()
 }
 
 fn words() -> OptionParser<Asked> {
-    let serve = pure(Asked::Serve).to_options();
+    let operator = operators_file();
+    let format =
+        long("log").help("How log lines are written: text (default) or json").argument::<String>("HOW");
+    let known = |how: &String| ["text", "json"].contains(&how.as_str());
+    let format = format.guard(known, "expected text or json").fallback("text".to_owned());
+    let json = format.map(|how| how == "json");
+    let serve = construct!(Asked::Serve { operator, json }).to_options();
     let serve = serve.descr("Serves, as NODE_CONFIG and the other NODE_ variables say");
     let version = pure(Asked::Version).to_options().descr("Prints the version");
     let file = positional::<String>("FILE").help("A configuration as NODE_CONFIG names one");
-    let check = file.map(Asked::Check).to_options();
+    let operator = operators_file();
+    let schema = long("schema").help("Prints the schema of the operator's file").req_flag(Asked::Schema);
+    let files = construct!(Asked::Check { operator, file });
+    let check = construct!([schema, files]).to_options();
     let check = check.descr("Reads a configuration and prints what it comes to, or the faulty key");
     let (serve, version, check) =
         (serve.command("serve"), version.command("version"), check.command("check"));
@@ -48,11 +66,21 @@
             println!("leverpoint {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Asked::Check(file) => node::from_file(&file, |_, _| None).map(|node| print!("{}", comes_to(&node))),
-        Asked::Serve => match node::from_environment(|name| std::env::var(name).ok()) {
-            Ok(node) => {
-                let log = Logger::root(Lines.fuse(), o!());
-                let Err(e) = serve::run(node, log) else { return ExitCode::SUCCESS };
+        Asked::Schema => {
+            println!("{:#}", operator::schema());
+            Ok(())
+        }
+        Asked::Check { file, operator } => node::from_file(&file, |_, _| None)
+            .and_then(|node| comes_to(&node, &read_operator(operator)?))
+            .map(|text| print!("{text}")),
+        Asked::Serve { operator, json } => match started_with(operator) {
+            Ok((node, operator)) => {
+                let log = if json {
+                    Logger::root(JsonLines.fuse(), o!())
+                } else {
+                    Logger::root(Lines.fuse(), o!())
+                };
+                let Err(e) = serve::run(node, operator, log) else { return ExitCode::SUCCESS };
                 eprintln!("leverpoint: {e}");
                 return ExitCode::FAILURE;
             }
@@ -68,8 +96,19 @@
     }
 }
 
+fn read_operator(file: Option<String>) -> Result<Operator, Fault> {
+    file.map_or(Ok(Operator::default()), |file| operator::from_file(&file))
+}
+
+fn started_with(operator: Option<String>) -> Result<(Node, Operator), Fault> {
+    let node = node::from_environment(|name| std::env::var(name).ok())?;
+    let operator = read_operator(operator)?;
+    serve::caps(&node, &operator)?;
+    Ok((node, operator))
+}
+
 /// What a configuration comes to, a line a thing.
-fn comes_to(node: &Node) -> String {
+fn comes_to(node: &Node, operator: &Operator) -> Result<String, Fault> {
     let mut out = String::new();
     let facts = &node.opened.facts;
     let _ = writeln!(out, "name {}, listens on {}", node.name, node.listen);
@@ -82,7 +121,8 @@
     let _ = writeln!(out, "customers {}", node.opened.customers.join(", "));
     let _ = writeln!(out, "zones {}", node.opened.zones.join(", "));
     let _ = writeln!(out, "{:?}\n{:?}\n{:?}", facts.list, facts.allowed, facts.guard);
-    out
+    let _ = writeln!(out, "{:?}", serve::caps(node, operator)?);
+    Ok(out)
 }
 
 /// Writes each record as one line of name=value to standard error, in one write, so no lock is needed.
@@ -107,6 +147,23 @@
     }
 }
 
+/// Writes each record as one line of JSON, likewise.
+struct JsonLines;
+
+impl Drain for JsonLines {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), slog::Never> {
+        let mut line = Vec::new();
+        let drain = slog_json::Json::new(&mut line).add_default_keys().build();
+        let _ = drain.log(record, values);
+        drop(drain);
+        let _ = std::io::stderr().write_all(&line);
+        Ok(())
+    }
+}
+
 struct Line(String);
 
 impl slog::Serializer for Line {
--- a/gateway/src/ring.rs
+++ b/gateway/src/ring.rs
@@ -7,59 +7,22 @@
 use std::cell::Cell;
 use std::io::{self, ErrorKind, IoSlice, IoSliceMut};
 use std::net::{Shutdown, SocketAddr};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::net::TcpStream;
-use tokio::sync::Notify;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::task::yield_now;
+use tokio::time::Instant;
+
+use crate::peers::{Kind, Peer, Room};
 
 /// What a ring begins with and falls back to: a few commands or answers of the usual size.
 const SMALL: usize = 2 << 10;
 /// What a ring may grow to without a claim: usual messages. The rings of 1,024 connections come to 8 MiB.
 pub const BASE: usize = 4 << 10;
-
-/// Bytes that all connections of a side share for messages longer than [`BASE`].
-pub struct Memory {
-    left: Cell<usize>,
-    freed: Notify,
-}
-
-/// Bytes claimed; given back when dropped.
-pub struct Room {
-    of: Rc<Memory>,
-    bytes: usize,
-}
-
-impl Memory {
-    pub fn new(bytes: usize) -> Rc<Self> {
-        Rc::new(Memory { left: Cell::new(bytes), freed: Notify::new() })
-    }
-
-    /// Waits until so much is free; who waits bounds it.
-    async fn claim(self: &Rc<Self>, bytes: usize) -> Room {
-        loop {
-            let freed = self.freed.notified();
-            if let Some(left) = self.left.get().checked_sub(bytes) {
-                self.left.set(left);
-                return Room { of: self.clone(), bytes };
-            }
-            freed.await;
-        }
-    }
-}
-
-impl Room {
-    fn join(&mut self, mut more: Room) {
-        self.bytes += std::mem::take(&mut more.bytes);
-    }
-}
-
-impl Drop for Room {
-    fn drop(&mut self) {
-        self.of.left.set(self.of.left.get() + self.bytes);
-        self.of.freed.notify_waiters();
-    }
-}
+/// What a connection reads or writes before others have their turn.
+const TURN: usize = 64 << 10;
 
 pub struct Ring {
     bytes: Vec<u8>,
@@ -178,36 +141,63 @@
 
 /// Both directions of a connection.
 pub struct Link {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     pub input: Ring,
     output: Ring,
+    /// Bytes moved in this turn.
+    turn: usize,
 }
 
 impl Link {
     pub fn new(stream: TcpStream) -> Self {
         // A command or an answer is written whole at once; waiting for more would only delay it.
         let _ = stream.set_nodelay(true);
-        Link { stream, input: Ring::default(), output: Ring::default() }
+        Link { stream: Rc::new(stream), input: Ring::default(), output: Ring::default(), turn: 0 }
+    }
+
+    /// Connects; `kernel` is what the kernel is asked to keep each way, where that is bounded.
+    pub async fn connect(to: SocketAddr, kernel: Option<usize>) -> io::Result<Self> {
+        let socket = if to.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        if let Some(bytes) = kernel {
+            // Before it connects, as the window is agreed on then.
+            socket.set_recv_buffer_size(bytes as u32)?;
+            socket.set_send_buffer_size(bytes as u32)?;
+        }
+        Ok(Link::new(socket.connect(to).await?))
     }
 
-    pub async fn connect(to: SocketAddr) -> io::Result<Self> {
-        Ok(Link::new(TcpStream::connect(to).await?))
+    /// To tell what of it stands in the kernel.
+    pub fn stream(&self) -> Weak<TcpStream> {
+        Rc::downgrade(&self.stream)
+    }
+
+    /// The connection ends with what waits on it, at once, when it is dropped.
+    pub fn discard(&self) {
+        let _ = SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO));
     }
 
     /// Lets the input take more of a message of `length`. Room for a long one is claimed as its bytes come,
     /// at most as much again as has come, so that who announces much and says nothing takes nothing from
-    /// others.
-    pub async fn expect(&mut self, length: usize, memory: &Rc<Memory>, room: &mut Option<Room>) {
+    /// others. Returns how long that was waited for.
+    pub async fn expect(
+        &mut self,
+        length: usize,
+        peer: &Rc<Peer>,
+        kind: Kind,
+        room: &mut Option<Room>,
+    ) -> Duration {
         if self.input.space() > 0 || length <= self.input.bound {
-            return;
+            return Duration::ZERO;
         }
         let bound = (2 * self.input.bound).min(length);
-        let more = memory.claim(bound - self.input.bound).await;
+        let began = Instant::now();
+        let more = peer.claim(kind, bound - self.input.bound).await;
         match room {
             Some(room) => room.join(more),
             None => *room = Some(more),
         }
         self.input.bound = bound;
+        began.elapsed()
     }
 
     /// The message has been taken out; the next one begins with the usual bound.
@@ -234,6 +224,7 @@
     /// Waits for more input; with a full ring for as long as it is let, blind to the connection's end. Safe
     /// to drop while it waits.
     pub async fn read(&mut self) -> io::Result<usize> {
+        self.turn().await;
         loop {
             if self.input.space() == 0 {
                 std::future::pending::<()>().await;
@@ -241,19 +232,35 @@
             self.stream.readable().await?;
             match self.read_now() {
                 Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
-                read => return read,
+                Ok(n) => {
+                    self.turn += n;
+                    return Ok(n);
+                }
+                failed => return failed,
             }
         }
     }
 
+    /// Lets others go on once this connection has moved a turn's bytes.
+    async fn turn(&mut self) {
+        if self.turn >= TURN {
+            self.turn = 0;
+            yield_now().await;
+        }
+    }
+
     /// Writes some of the output, as much as the connection takes now.
     async fn write_some(&mut self) -> io::Result<usize> {
+        self.turn().await;
         loop {
             self.stream.writable().await?;
             let (front, back) = self.output.parts();
             match self.stream.try_write_vectored(&[IoSlice::new(front), IoSlice::new(back)]) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(n) => return Ok(self.output.skip(n)),
+                Ok(n) => {
+                    self.turn += n;
+                    return Ok(self.output.skip(n));
+                }
                 Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
                 Err(e) => return Err(e),
             }
@@ -261,19 +268,21 @@
     }
 
     /// Writes all of the parts, one after the other; `wrote` counts what the connection has taken.
-    pub async fn write(&mut self, parts: &[&[u8]], wrote: &mut usize) -> io::Result<()> {
+    pub async fn write(&mut self, parts: &[&[u8]], wrote: &Cell<usize>) -> io::Result<()> {
         for part in parts {
             let mut part = *part;
             while !part.is_empty() {
                 let n = self.output.push(part);
                 part = &part[n..];
                 if self.output.space() == 0 {
-                    *wrote += self.write_some().await?;
+                    let n = self.write_some().await?;
+                    wrote.set(wrote.get() + n);
                 }
             }
         }
         while !self.output.is_empty() {
-            *wrote += self.write_some().await?;
+            let n = self.write_some().await?;
+            wrote.set(wrote.get() + n);
         }
         Ok(())
     }
@@ -281,7 +290,7 @@
     /// Tells the other side that nothing more comes, and waits for its end, passing over what it still says,
     /// up to so much.
     pub async fn finish(&mut self, most: usize) -> io::Result<()> {
-        SockRef::from(&self.stream).shutdown(Shutdown::Write)?;
+        SockRef::from(&*self.stream).shutdown(Shutdown::Write)?;
         let mut passed = 0;
         while passed < most {
             passed += self.input.skip(self.input.len());
--- a/gateway/src/servers.rs
+++ b/gateway/src/servers.rs
@@ -3,7 +3,7 @@
 //! It reports each dispatch's end as it was, never sends a statement again of its own accord once a byte of
 //! it may have left, and knows neither clients nor the reasons for a dispatch.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -12,6 +12,7 @@
 
 use leverpoint::interface::{Ending, Tenths};
 use leverpoint_facts::settings::span;
+use leverpoint_pace::Trickle;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout_at};
 
@@ -20,7 +21,8 @@
 use crate::exchange::{Carrier, Order, Row, Spoken};
 use crate::fault::{Cause, Fault, Reached};
 use crate::message::{self, Read};
-use crate::ring::{Link, Memory, Room};
+use crate::peers::{Kind, Peers, Room};
+use crate::ring::Link;
 
 struct Connection {
     link: Link,
@@ -40,12 +42,76 @@
     /// Idle connections of each server, the one used last at the back.
     idle: RefCell<BTreeMap<usize, VecDeque<Connection>>>,
     descriptors: Rc<Descriptors>,
-    memory: Rc<Memory>,
+    peers: Rc<Peers>,
     counters: Rc<Counters>,
     connect_timeout: Duration,
     idle_for: Duration,
 }
 
+/// A server that is never ready after a row holds a command's index and a connection no longer than this at least.
+const LEAST_AFTER_ROW: Duration = Duration::from_millis(10);
+
+/// An answer on its way.
+struct Coming<'a> {
+    order: &'a Order,
+    /// Whether it is given up as soon as it can't be whole in time.
+    judged: bool,
+    hopeless: bool,
+    trickle: Trickle,
+    began: tokio::time::Instant,
+    /// By when the next message must be there.
+    by: tokio::time::Instant,
+}
+
+impl Coming<'_> {
+    fn time(&self, at: tokio::time::Instant) -> Tenths {
+        at.saturating_duration_since(self.began).as_micros() as Tenths / 100
+    }
+
+    /// From here on only its role and position are missing, and that it is ready.
+    fn row_is_whole(&mut self, span: Duration) {
+        self.judged = false;
+        self.by = self.by.min(tokio::time::Instant::now() + span);
+    }
+
+    /// Reads more of a message of that length, 0 where it is not known; given up where that is in vain.
+    async fn more(&mut self, link: &mut Link, length: usize) -> io::Result<()> {
+        let before = link.input.len();
+        // Nothing of it has come: that is the dispatch's own wait.
+        if before == 0 && !self.trickle.begun() {
+            link.read().await?;
+        } else if !self.judged {
+            let read = timeout_at(self.by, link.read()).await;
+            read.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))?;
+        } else {
+            // What is there already needs no timer.
+            match link.read_now() {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    let look = tokio::time::Instant::now() + span(self.trickle.look());
+                    timeout_at(look, link.read()).await.unwrap_or(Ok(0))?;
+                }
+                read => {
+                    read?;
+                }
+            }
+        }
+        if !self.judged {
+            return Ok(());
+        }
+        let now = self.time(tokio::time::Instant::now());
+        let came = link.input.len() - before;
+        if came > 0 {
+            self.trickle.came(now, came);
+        }
+        let missing = length.saturating_sub(link.input.len());
+        if self.trickle.hopeless(now, missing, self.time(self.order.until)) {
+            self.hopeless = true;
+            return Err(ErrorKind::TimedOut.into());
+        }
+        Ok(())
+    }
+}
+
 /// What came of a dispatch that the server has ended.
 struct Ended {
     ending: Ending,
@@ -56,7 +122,7 @@
 impl Servers {
     pub fn new(
         descriptors: Rc<Descriptors>,
-        memory: Rc<Memory>,
+        peers: Rc<Peers>,
         counters: Rc<Counters>,
         connect_timeout: Tenths,
         idle_close: Tenths,
@@ -66,7 +132,7 @@
         let idle_for = span((idle_close - connect_timeout).max(idle_close / 2));
         let connect_timeout = span(connect_timeout);
         let idle = RefCell::default();
-        let servers = Rc::new(Servers { idle, descriptors, memory, counters, connect_timeout, idle_for });
+        let servers = Rc::new(Servers { idle, descriptors, peers, counters, connect_timeout, idle_for });
         let for_others = Rc::downgrade(&servers);
         let close = move || for_others.upgrade().is_some_and(|servers| servers.close_longest_idle());
         servers.descriptors.close_idle_by(Box::new(close));
@@ -91,7 +157,7 @@
     async fn attempt(self: &Rc<Self>, order: &Order) -> Result<Ended, Fault> {
         let mut connection = self.write(order).await?;
         order.reached.set(Reached::Written);
-        let ended = connection.answer(order, &self.memory).await?;
+        let ended = connection.answer(order, &self.peers).await?;
         if ended.reusable {
             connection.idle_since = Instant::now();
             self.idle.borrow_mut().entry(order.server).or_default().push_back(connection);
@@ -121,15 +187,15 @@
                 None => self.connect(order).await?,
             };
             order.reached.set(Reached::NotWritten);
-            let mut wrote = 0;
-            match connection.link.write(&parts, &mut wrote).await {
+            let wrote = Cell::new(0);
+            match connection.link.write(&parts, &wrote).await {
                 // What is there this soon was sent before the statement came, so it is no answer to it.
                 Ok(()) if reused && !connection.quiet() => {
                     order.reached.set(Reached::Written);
                     return Err(order.fault(Cause::Garbled));
                 }
                 Ok(()) => return Ok(connection),
-                Err(_) if reused && wrote == 0 => {}
+                Err(_) if reused && wrote.get() == 0 => {}
                 Err(_) => return Err(order.fault(Cause::Broken)),
             }
         }
@@ -154,7 +220,7 @@
             add(&self.counters.servers.refused);
             return Err(order.fault(Cause::NoMeans));
         };
-        match timeout_at(by, Connection::open(order.address, &self.counters, claim)).await {
+        match timeout_at(by, Connection::open(order.address, self.kernel(), &self.counters, claim)).await {
             Ok(Ok(connection)) => Ok(connection),
             Ok(Err(e)) if e.kind() == ErrorKind::QuotaExceeded => Err(order.fault(Cause::TurnedAway)),
             Ok(Err(_)) => Err(order.fault(Cause::Broken)),
@@ -162,6 +228,11 @@
         }
     }
 
+    /// What the kernel may keep of a connection each way, where that is bounded.
+    fn kernel(&self) -> Option<usize> {
+        Some(self.peers.caps()).filter(|caps| caps.on).map(|caps| caps.kernel)
+    }
+
     /// Whether there was one.
     fn close_longest_idle(&self) -> bool {
         let mut idle = self.idle.borrow_mut();
@@ -195,12 +266,17 @@
 
 impl Connection {
     /// A connection is up once the server is ready for a first statement.
-    async fn open(address: SocketAddr, counters: &Rc<Counters>, claim: Claim) -> io::Result<Self> {
-        let link = Link::connect(address).await?;
+    async fn open(
+        address: SocketAddr,
+        kernel: Option<usize>,
+        counters: &Rc<Counters>,
+        claim: Claim,
+    ) -> io::Result<Self> {
+        let link = Link::connect(address, kernel).await?;
         add(&counters.servers.opened);
         let (idle_since, counters) = (Instant::now(), counters.clone());
         let mut connection = Connection { link, address, idle_since, counters, _claim: claim };
-        connection.link.write(&[&message::hello()], &mut 0).await?;
+        connection.link.write(&[&message::hello()], &Cell::new(0)).await?;
         loop {
             match connection.next(None).await? {
                 (b'Z', ..) if connection.link.input.is_empty() => return Ok(connection),
@@ -219,40 +295,59 @@
         matches!(self.link.read_now(), Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
-    /// The next message, a long one with its room where memory for it is at hand.
-    async fn next(&mut self, memory: Option<&Rc<Memory>>) -> io::Result<(u8, Vec<u8>, Option<Room>)> {
+    /// The next message, a long one with its room where one is claimed for a peer; `coming` where it belongs to
+    /// an answer.
+    async fn next(&mut self, mut coming: Option<&mut Coming<'_>>) -> io::Result<(u8, Vec<u8>, Option<Room>)> {
         let mut room = None;
         loop {
-            match (message::next(&mut self.link.input), memory) {
-                (Read::Message(tag, body), _) => {
+            let length = match message::next(&mut self.link.input) {
+                Read::Message(tag, body) => {
                     self.link.expect_usual();
                     return Ok((tag, body, room));
                 }
-                (Read::Long | Read::Broken, _) => return Err(ErrorKind::InvalidData.into()),
-                (Read::Short(length), Some(memory)) => {
-                    self.link.expect(length, memory, &mut room).await;
-                }
-                (Read::Short(_), None) => {}
+                Read::Long | Read::Broken => return Err(ErrorKind::InvalidData.into()),
+                Read::Short(length) => length,
+            };
+            let Some(coming) = &mut coming else {
+                self.link.read().await?;
+                continue;
+            };
+            if let Some(peer) = &coming.order.peer {
+                let waited = self.link.expect(length, peer, Kind::Answer, &mut room).await;
+                coming.trickle.excuse(waited.as_micros() as Tenths / 100);
             }
-            self.link.read().await?;
+            coming.more(&mut self.link, length).await?;
         }
     }
 
     /// Reads what the server says until it is ready for the next statement.
-    async fn answer(&mut self, order: &Order, memory: &Rc<Memory>) -> Result<Ended, Fault> {
+    async fn answer(&mut self, order: &Order, peers: &Peers) -> Result<Ended, Fault> {
         let mut row = Row::default();
         let mut rows = 0;
         let writes = order.statement.as_ref().is_some_and(|statement| statement.write);
         let mut ending = None;
         let mut said = Spoken::default();
+        let caps = peers.caps();
+        // A write that is given up early could not go again; it has its whole time.
+        let judged = caps.on && !writes;
+        let began = tokio::time::Instant::now();
+        let mut coming = Coming {
+            order,
+            judged,
+            hopeless: false,
+            trickle: Trickle::new(order.wait),
+            began,
+            by: order.until,
+        };
         loop {
-            let (tag, body, room) = match (self.next(Some(memory)).await, ending) {
+            let (tag, body, room) = match (self.next(Some(&mut coming)).await, ending) {
                 (Ok(message), _) => message,
                 // An error that ends the connection has been said whole all the same.
                 (Err(_), Some(ending)) if ending != Ending::Answered => {
                     return Ok(Ended { ending, said, reusable: false });
                 }
                 (Err(e), _) if e.kind() == ErrorKind::InvalidData => return Err(order.fault(Cause::Garbled)),
+                (Err(_), _) if coming.hopeless => return Err(order.fault(Cause::Trickled)),
                 (Err(_), _) => return Err(order.fault(Cause::Broken)),
             };
             match (tag, ending) {
@@ -269,6 +364,7 @@
                 (b'C', None) if rows == 1 && message::completes(&body, writes) => {
                     message::put(&mut row.messages, tag, &[&body]);
                     order.deliver(std::mem::take(&mut row));
+                    coming.row_is_whole(span(caps.after_row).max(LEAST_AFTER_ROW));
                     ending = Some(Ending::Answered);
                 }
                 (b'I', None) if order.statement.is_none() => ending = Some(Ending::Answered),
--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -4,6 +4,8 @@
 
 #[path = "../src/message.rs"]
 mod message;
+#[path = "../src/peers.rs"]
+mod peers;
 #[path = "../src/ring.rs"]
 mod ring;
 #[path = "../src/statement.rs"]
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -672,7 +672,9 @@
         let told = told.replace(&elsewhere.address, "ELSEWHERE");
         trace += &format!("{name}: {told}; {}\n", client.ask(&insert("report")));
     };
-    reload("half written", &fine[..fine.len() / 2], "not taken");
+    // Cut at a place of the text, not of its length, which changes with the addresses.
+    let half = fine.find("semantics").unwrap();
+    reload("half written", &fine[..half], "not taken");
     reload("a bad key", &fine.replace("\"coldMs\": 9000.0", "\"coldMs\": -1"), "not taken");
     reload("elsewhere", &fine, "read again");
     let changed = fine.replace("192", "64").replace("\"worth\": 1.0,", "\"worth\": 2.0,");
--- a/gateway/tests/tables.rs
+++ b/gateway/tests/tables.rs
@@ -8,6 +8,8 @@
 mod exchange;
 #[path = "../src/fault.rs"]
 mod fault;
+#[path = "../src/peers.rs"]
+mod peers;
 #[path = "../src/ring.rs"]
 mod ring;
 #[path = "../src/statement.rs"]
@@ -15,12 +17,15 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use exchange::{Carrier, Entry, Exchange, Final, Order, Row, Spoken};
 use leverpoint::interface::{Ending, News, Phase};
 use leverpoint_facts::settings;
+use leverpoint_pace::Caps;
+use leverpoint_pace::caps::Limits;
+use peers::Peers;
 use statement::Kind;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
@@ -34,6 +39,11 @@
      {"name": "order", "aimMs": 400.0, "deadlineMs": 2000.0, "semantics": "side_effect", "worth": 3.0}],
     "policyLimits": {"sendCap": 4, "connectTimeoutMs": 250.0, "idleCloseMs": 15000.0}}"#;
 
+fn caps() -> Caps {
+    let (memory, sockets) = (32 << 20, 1_024);
+    Caps::from_limits(&Limits { memory, sockets, unclaimed: 8 << 10, longest: 136 << 10, connect: 2_500 })
+}
+
 /// Answers each dispatch after 20 ms; the first of every set says it is the primary.
 #[derive(Default)]
 struct Answers {
@@ -74,7 +84,9 @@
     LocalSet::new().block_on(&runtime.unwrap(), async {
         let opened = settings::read(7, SETTINGS.as_bytes()).unwrap();
         let counters = Rc::new(counters::Counters::new(&opened.groups));
-        let exchange = Exchange::new(opened, counters, slog::Logger::root(slog::Discard, slog::o!()));
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        let exchange = Exchange::new(opened, counters, log.clone());
+        let peer = Peers::new(caps(), 2, 1, 7, log).enter(Weak::new());
         let answers = Rc::new(Answers::default());
         exchange.set_carrier(Rc::new(answers.clone()));
         spawn_local(exchange.clone().keep_time());
@@ -88,7 +100,7 @@
                     "INSERT INTO records (k, v) VALUES ('s{nth}-{part}', '\\x9f') RETURNING v /* id={nth}-{part},c=order,d=900,cluster=2 */"
                 );
                 let Ok(Kind::Command(said)) = statement::read(&text) else { panic!("{text}") };
-                let ticket = exchange.arrived(&said, &text).unwrap_or_else(|e| panic!("{e:?}"));
+                let ticket = exchange.arrived(&said, &text, &peer).unwrap_or_else(|e| panic!("{e:?}"));
                 assert!(matches!(ticket.await, Final::Answered(_)), "{text}");
             }
             sleep(Duration::from_millis(460)).await;
--- a/pace/benches/cost.rs
+++ b/pace/benches/cost.rs
@@ -41,9 +41,9 @@
         let mut order = Order::default();
         let mut plain = vec![(None, 0); PEERS];
         let rank = |n: usize| if n.is_multiple_of(3) { Rank::StalledPast } else { Rank::SlowPast };
-        for n in 0..slow {
+        for (n, peer) in plain.iter_mut().enumerate().take(slow) {
             order.put(n, rank(n));
-            plain[n] = (Some(rank(n)), n as i64);
+            *peer = (Some(rank(n)), n as i64);
         }
         measured(
             &format!("order: {slow} of {PEERS}, one enters, the first is named and leaves"),
--- a/pace/src/caps.rs
+++ b/pace/src/caps.rs
@@ -14,7 +14,8 @@
     pub stall: Tenths,
     /// Bytes that a message may have to count as small.
     pub small: usize,
-    /// Bytes taken at a good rate that prove a peer; more than the kernel takes for it unread.
+    /// Bytes taken at a good rate, in one answer or in several, that prove a peer; more than the kernel takes
+    /// for it unread.
     pub proof: usize,
     /// Bytes held for one peer at most, in each direction.
     pub one_peer: usize,
@@ -65,11 +66,12 @@
 impl Caps {
     /// What follows from the limits where the operator has said nothing.
     pub fn from_limits(limits: &Limits) -> Caps {
-        let rings = limits.sockets * limits.unclaimed;
-        // A third each is for statements and for answers, the rest for everything else.
-        let all = (limits.memory.saturating_sub(rings) / 3).max(limits.longest);
         // A quarter of the memory for both buffers of all connections, as far as that is enough for anybody.
         let kernel = (limits.memory / 8 / limits.sockets).clamp(LEAST_KERNEL, MOST_KERNEL);
+        // What connections may take without a claim comes off first, in their rings and, for one of the two
+        // directions, in the kernel. A third each is for statements and for answers, the rest for all else.
+        let connections = limits.sockets * (limits.unclaimed + kernel);
+        let all = (limits.memory.saturating_sub(connections) / 3).max(limits.longest);
         let newcomers = (all / 2).max(limits.longest);
         Caps {
             least_rate: LEAST_RATE,
--- a/pace/src/peers.rs
+++ b/pace/src/peers.rs
@@ -9,7 +9,7 @@
 use crate::order::{Order, Rank};
 use crate::pool::{Pool, Share};
 use crate::sizes::Sizes;
-use crate::table::{self, Effect, State};
+use crate::table::{self, Effect, Input, State};
 
 /// What bytes are held for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +46,10 @@
     out: Meter,
     into: Meter,
     shares: [Share; 2],
+    /// Bytes taken well since it has last proved itself or has been slow.
+    credit: usize,
+    /// What its own answers have wanted, once it has had one.
+    wants: Option<usize>,
     /// Until then it is owed a final answer whole.
     owed_till: Tenths,
     /// Its place in `waiting`.
@@ -138,7 +142,9 @@
         }
         let pool = &mut self.pools[Kind::Answer as usize];
         let share = &mut peer.shares[Kind::Answer as usize];
-        let likely = self.sizes.likely(group).min(self.caps.one_peer.saturating_sub(share.held));
+        // By its own answers where it has had any: one that asks for little is not taken for one of a crowd.
+        let likely = self.sizes.likely(peer.wants, group);
+        let likely = likely.min(self.caps.one_peer.saturating_sub(share.held));
         if self.caps.on && peer.state != State::Usual {
             let untaken = peer.out.waiting();
             let too_much = untaken > 0 && untaken + likely > self.caps.one_peer;
@@ -186,7 +192,7 @@
         let promised = share.promised;
         pool.promise_less(peer.state, peer.customer, share, promised);
         if let Some(group) = group {
-            self.sizes.saw(group, bytes);
+            self.sizes.saw(&mut peer.wants, group, bytes);
         }
         peer.out.add(now, bytes);
         peer.owed_till = ends;
@@ -205,7 +211,13 @@
         }
         peer.out.left(now, bytes);
         let short = peer.out.waiting() <= self.caps.small;
-        let input = table::read(&peer.out, now, &self.caps, short);
+        let input = table::read(&peer.out, now, &self.caps, peer.credit, short);
+        let well = bytes == 0 && table::taken_well(&peer.out, now, &self.caps);
+        peer.credit = match input {
+            Input::Little | Input::Early if well => peer.credit + peer.out.taken(),
+            Input::Early | Input::Keeps | Input::Little => peer.credit,
+            Input::Much | Input::Near | Input::Below | Input::Still => 0,
+        };
         let owed = now < peer.owed_till;
         let effect = self.step(id, input, owed);
         match (bytes, self.peers[id].waits_at) {
@@ -245,7 +257,7 @@
         if peer.into.waiting() == 0 || now < grace_ends {
             return Some(grace_ends.max(now + 1));
         }
-        let input = table::read(&peer.into, now, &self.caps, false);
+        let input = table::read(&peer.into, now, &self.caps, 0, false);
         if !self.caps.on || self.step(id, input, false) == Effect::LetGo {
             return None;
         }
@@ -255,7 +267,7 @@
         Some(now + crate::meter::WINDOW)
     }
 
-    fn step(&mut self, id: usize, input: table::Input, owed: bool) -> Effect {
+    fn step(&mut self, id: usize, input: Input, owed: bool) -> Effect {
         if !self.caps.on {
             return Effect::Keep;
         }
--- a/pace/src/table.rs
+++ b/pace/src/table.rs
@@ -106,13 +106,21 @@
     }
 }
 
-/// What a meter says, by these caps. What is known to be short is given twice the grace: a lost packet costs it
+/// Whether what a peer has taken was taken at a good rate.
+pub fn taken_well(meter: &Meter, now: Tenths, caps: &Caps) -> bool {
+    meter.mean(now) >= 2 * caps.least_rate || meter.age(now) < caps.grace
+}
+
+/// What a meter says, by these caps; `credit` are bytes taken well before. What is known to be short is given twice the grace: a lost packet costs it
 /// as much as a long one.
-pub fn read(meter: &Meter, now: Tenths, caps: &Caps, short: bool) -> Input {
+pub fn read(meter: &Meter, now: Tenths, caps: &Caps, credit: usize, short: bool) -> Input {
     let rate = meter.rate(now);
     if meter.waiting() == 0 {
-        let good = meter.mean(now) >= 2 * caps.least_rate || meter.age(now) < caps.grace;
-        return if meter.taken() >= caps.proof && good { Much } else { Little };
+        return if credit + meter.taken() >= caps.proof && taken_well(meter, now, caps) {
+            Much
+        } else {
+            Little
+        };
     }
     let grace = if short { 2 * caps.grace } else { caps.grace };
     if meter.age(now) < grace {
--- a/pace/src/trickle.rs
+++ b/pace/src/trickle.rs
@@ -5,19 +5,32 @@
 use crate::Tenths;
 use crate::meter::Meter;
 
-/// An answer is looked at this often while it is not whole.
-pub const LOOK: Tenths = 1_000;
-/// Before that nothing is known of its rate: three looks, so that one pause of a busy core is not the whole of it.
-const EARLIEST: Tenths = 3 * LOOK;
+/// Nothing is known of an answer's rate before a quarter of its dispatch's wait has passed since its first byte,
+/// or 300 ms where that is less: by then one pause of a busy core is not the whole of it.
+const EARLIEST: Tenths = 3_000;
+const PART: Tenths = 4;
+/// How often it is looked at in that time while it is not whole.
+const LOOKS: Tenths = 3;
 /// The shortest row there is, from its description to its end: what is missing of an answer is never less.
 const SHORTEST: usize = 62;
 
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Trickle {
     meter: Meter,
+    earliest: Tenths,
 }
 
 impl Trickle {
+    /// For a dispatch that is waited for so long.
+    pub fn new(wait: Tenths) -> Trickle {
+        Trickle { meter: Meter::default(), earliest: (wait / PART).clamp(LOOKS, EARLIEST) }
+    }
+
+    /// How long to wait for more before it is looked at again.
+    pub fn look(&self) -> Tenths {
+        self.earliest / LOOKS
+    }
+
     /// So many bytes have come.
     pub fn came(&mut self, now: Tenths, bytes: usize) {
         self.meter.came(now, bytes);
@@ -37,11 +50,11 @@
     /// known yet.
     pub fn hopeless(&self, now: Tenths, missing: usize, until: Tenths) -> bool {
         let left = (until - now).max(0);
-        if !self.begun() || self.meter.age(now) < EARLIEST {
+        if !self.begun() || self.meter.age(now) < self.earliest {
             return false;
         }
         let still = self.meter.still(now);
-        if still >= EARLIEST && still >= left / 2 {
+        if still >= self.earliest && still >= left / 2 {
             return true;
         }
         let rate = self.meter.rate(now).max(self.meter.mean(now));
--- a/pace/tests/pace.rs
+++ b/pace/tests/pace.rs
@@ -7,6 +7,9 @@
 
 const KIB: usize = 1 << 10;
 
+/// Bytes by the time since the beginning.
+type Rate = dyn Fn(Tenths) -> usize;
+
 fn caps() -> Caps {
     let (memory, sockets) = (32 << 20, 1_024);
     Caps::from_limits(&Limits { memory, sockets, unclaimed: 8 * KIB, longest: 136 * KIB, connect: 2_500 })
@@ -41,7 +44,7 @@
 #[test]
 fn readers_of_each_kind_become_what_they_are() {
     let mut peers = peers();
-    let kinds: [(&str, usize, &dyn Fn(Tenths) -> usize); 7] = [
+    let kinds: [(&str, usize, &Rate); 7] = [
         ("fast", 64 * KIB, &|_| 4 << 20),
         ("a phone at 40 KiB/s", 64 * KIB, &|_| 40 * KIB),
         ("just above the least rate", 64 * KIB, &|_| 9 * KIB),
@@ -217,7 +220,7 @@
 #[test]
 fn half_a_message_is_let_go_after_its_grace_unless_it_keeps_the_least_rate() {
     let mut out = String::new();
-    let kinds: [(&str, &dyn Fn(Tenths) -> usize); 4] = [
+    let kinds: [(&str, &Rate); 4] = [
         ("a byte each 50 ms", &|_| 2),
         ("half a statement, then nothing", &|t| if t < 1_000 { 200 } else { 0 }),
         ("64 KiB at 16 KiB/s", &|_| 1_638),
@@ -247,7 +250,7 @@
 fn an_answer_that_cannot_be_whole_in_time_is_given_up_early() {
     let mut out = String::new();
     let whole = 64 * KIB;
-    let kinds: [(&str, &dyn Fn(Tenths) -> usize); 5] = [
+    let kinds: [(&str, &Rate); 5] = [
         ("a byte each 50 ms", &|t| if t % 500 == 0 { 1 } else { 0 }),
         ("half of it, then nothing", &|t| if t == 0 { 32 * KIB } else { 0 }),
         ("steadily, twice as fast as needed", &|_| 64 * KIB / 100),
@@ -259,7 +262,7 @@
         }),
     ];
     for (what, comes) in kinds {
-        let mut trickle = Trickle::default();
+        let mut trickle = Trickle::new(10_000);
         let mut got = 0;
         let ended = (0..400).map(|n| n * 50).find(|now| {
             let bytes = comes(*now);
@@ -272,7 +275,7 @@
         out += &format!("{what}: {:?} ms, {got} of {whole} bytes\n", ended.map(|at| at / 10));
     }
     // Nothing at all is not a trickle: that is the dispatch's own wait.
-    assert!(!Trickle::default().hopeless(9_000, 0, 10_000));
+    assert!(!Trickle::new(10_000).hopeless(9_000, 0, 10_000));
     insta::assert_snapshot!(out);
 }
 
