stands/ and leverpoint-rig: slow peers beside honest ones, and who has proved itself keeps its place

Need: the socket tests kept their stand-ins to themselves, and no tool of the project's own could show what slow peers do to others.

In the gateway idle clients that have proved themselves are asked last, and none of them while they are fewer than half of what clients may hold; sixteen answers taken at a good rate prove a client; one asked to make room within 20 ms of coming is sent back with 53300 instead of being cut off, as its first command may be on its way.

--- a/facts/src/operator.rs
+++ b/facts/src/operator.rs
@@ -50,7 +50,7 @@
     newcomers: Option<Bytes>,
     /// Held for all peers together, in each direction.
     all: Option<Bytes>,
-    /// Slow connections beyond which no usual one makes room for another.
+    /// Proven connections up to which none of them makes room for another.
     #[schemars(range(min = 1, max = 1_000_000), extend("x-expected" = "a whole number from 1 to 1000000"))]
     connections: Option<u32>,
     /// When one that is sent back should come again, between once and twice of it.
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -29,6 +29,9 @@
 /// one is owed an error or a close within 3 s of connecting, and a second is kept for a busy core.
 const SHOWN_WITHIN: Duration = Duration::from_secs(2);
 
+/// A way there and back through a usual network: within it a client that was admitted may have asked already.
+const YOUNG: Duration = Duration::from_millis(20);
+
 struct Client {
     link: Link,
     exchange: Rc<Exchange>,
@@ -37,6 +40,8 @@
     peer: Rc<Peer>,
     /// Else there is no room for one more, and its first command is sent back untouched.
     stays: bool,
+    /// How long such a one is waited for.
+    lingers: Duration,
     _claim: Claim,
 }
 
@@ -82,7 +87,8 @@
     let patience = exchange.longest_timeout();
     let link = Link::new(stream);
     let peer = peers.enter(link.stream());
-    let mut client = Client { link, exchange, patience, peer, stays, _claim: claim };
+    let lingers = exchange.connect_timeout();
+    let mut client = Client { link, exchange, patience, peer, stays, lingers, _claim: claim };
     // However it ends, it ends here; what was out for it is told to the exchange by its ticket.
     let _ = client.serve(&leaving).await;
     if client.peer.is_let_go() {
@@ -154,11 +160,16 @@
                         Came::NoRoom => return self.part("53300", "no room for the message").await,
                         Came::LetGo => return self.part("08P01", "too slow, and room is short").await,
                         Came::Leave => return self.leave().await,
+                        // What it asks may be on its way: it is sent back then, rather than cut off.
+                        Came::MakeRoom if began.elapsed() < YOUNG => {
+                            (self.stays, self.lingers) = (false, YOUNG);
+                            continue;
+                        }
                         Came::MakeRoom => return Ok(()),
                     }
                 }
             };
-            shown = Shown::Message;
+            shown = if self.peer.is_usual() { Shown::Proven } else { Shown::Message };
             if due.take().is_some() {
                 self.peer.whole();
             }
@@ -196,9 +207,9 @@
         leaving: &Leaving,
         (shown, since): (Shown, Instant),
     ) -> io::Result<Came> {
-        let lingers = self.exchange.connect_timeout();
+        let lingers = self.lingers;
         let idle = self.link.input.is_empty();
-        if idle && shown == Shown::Message {
+        if idle && matches!(shown, Shown::Message | Shown::Proven) {
             leaving.one_more_idle(self.exchange.open());
         }
         let may_leave = self.stays && (idle || (shown == Shown::Startup && !leaving.all()));
--- a/gateway/src/descriptors.rs
+++ b/gateway/src/descriptors.rs
@@ -123,14 +123,18 @@
     Startup,
     /// A whole message at least.
     Message,
+    /// That it takes what it is answered.
+    Proven,
 }
 
 /// Asks connections of clients to end while nothing of theirs is open: all of them, or one. Those that have
-/// shown nothing yet go first, of either kind the one that has waited longest.
+/// shown nothing yet go first, then the slow, then those that have not proved themselves, at last those that
+/// have; of each kind the one that has waited longest.
 pub struct Leaving {
     all: Cell<bool>,
     strangers: Waiting,
     idle: Waiting,
+    proven: Waiting,
     peers: Rc<Peers>,
     /// Connections that may stay between commands, with those that have one open.
     most: usize,
@@ -160,6 +164,10 @@
         asked.notified().await;
     }
 
+    fn count(&self) -> usize {
+        self.queue.borrow().len()
+    }
+
     /// Asks the first; whether there was one.
     fn ask_first(&self) -> bool {
         self.queue.borrow_mut().pop_first().inspect(|(_, first)| first.notify_one()).is_some()
@@ -170,20 +178,24 @@
     /// Clients hold a third of the descriptors for commands at most, as the platform says. Half of that is
     /// kept free for new ones: who asks once and holds on would else keep all others from coming at all.
     pub fn new(sockets: usize, peers: Rc<Peers>) -> Rc<Self> {
-        let (strangers, idle, most) = (Waiting::default(), Waiting::default(), sockets / 6);
-        Rc::new(Leaving { all: Cell::new(false), strangers, idle, peers, most })
+        let [strangers, idle, proven] = Default::default();
+        Rc::new(Leaving { all: Cell::new(false), strangers, idle, proven, peers, most: sockets / 6 })
     }
 
     /// One more becomes idle while so many have a command open: if that is too many, the longest idle leaves.
     pub fn one_more_idle(&self, open: usize) {
-        if self.idle.queue.borrow().len() + open >= self.most {
+        if self.idle.count() + self.proven.count() + open >= self.most {
             self.ask_slow_or_idle();
         }
     }
 
     /// Waits, for one that has had nothing open since then, until it is to leave.
     pub async fn asked(&self, shown: Shown, since: Instant) {
-        let waiting = if shown == Shown::Message { &self.idle } else { &self.strangers };
+        let waiting = match shown {
+            Shown::Nothing | Shown::Startup => &self.strangers,
+            Shown::Message => &self.idle,
+            Shown::Proven => &self.proven,
+        };
         while !self.all.get() {
             waiting.asked(since).await;
             if !self.all.get() {
@@ -198,7 +210,7 @@
 
     pub fn ask_all(&self) {
         self.all.set(true);
-        for waiting in [&self.strangers, &self.idle] {
+        for waiting in [&self.strangers, &self.idle, &self.proven] {
             while waiting.ask_first() {}
         }
     }
@@ -212,11 +224,11 @@
         self.strangers.ask_first() || self.ask_slow_or_idle()
     }
 
-    /// A slow one goes before any idle one, and no idle one makes room for many slow ones.
+    /// A slow one goes before any idle one, and no proven one makes room for many slow ones.
     fn ask_slow_or_idle(&self) -> bool {
         match self.peers.make_room() {
             Ok(()) => true,
-            Err(idle_may_go) => idle_may_go && self.idle.ask_first(),
+            Err(proven_may_go) => self.idle.ask_first() || (proven_may_go && self.proven.ask_first()),
         }
     }
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -11,7 +11,7 @@
 use leverpoint::interface::Tenths;
 use leverpoint_facts::settings::span;
 pub use leverpoint_pace::Kind;
-use leverpoint_pace::{Asked, Caps, Effect, Peers as Pace, Verdict};
+use leverpoint_pace::{Asked, Caps, Effect, Peers as Pace, State, Verdict};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
@@ -113,7 +113,7 @@
     }
 
     /// Room for one more connection is wanted: whether one has been let go for it, else whether one that is idle
-    /// may be asked.
+    /// may be asked though it has proved itself.
     pub fn make_room(&self) -> Result<(), bool> {
         let asked = self.pace.borrow_mut().make_room();
         match asked {
@@ -122,7 +122,7 @@
                 Ok(())
             }
             Asked::Idle => Err(true),
-            Asked::Nobody => Err(false),
+            Asked::Unproven => Err(false),
         }
     }
 
@@ -280,6 +280,11 @@
         }
     }
 
+    /// Whether it has proved that it takes what it is answered.
+    pub fn is_usual(&self) -> bool {
+        self.of.pace.borrow().state(self.id) == State::Usual
+    }
+
     pub fn is_let_go(&self) -> bool {
         self.let_go.get()
     }
--- a/pace/src/caps.rs
+++ b/pace/src/caps.rs
@@ -27,8 +27,7 @@
     pub newcomers: usize,
     /// Bytes held for all, in each direction.
     pub all: usize,
-    /// Connections of peers that are slow, or of which it is not known, beyond which no usual one makes room
-    /// for another.
+    /// Connections of peers that have proved themselves, up to which none of them makes room for another.
     pub connections: usize,
     /// When a peer that is sent back should come again, between once and twice of it.
     pub come_back: Tenths,
@@ -85,8 +84,8 @@
             slow: (all / 4).max(limits.longest),
             newcomers,
             all,
-            // Half of what clients may hold.
-            connections: limits.sockets / 4,
+            // Half of the third that clients may hold for commands.
+            connections: limits.sockets / 6,
             come_back: limits.connect * 4,
             after_row: limits.connect,
             kernel,
--- a/pace/src/peers.rs
+++ b/pace/src/peers.rs
@@ -33,10 +33,14 @@
     Peer(usize),
     /// Whoever has been idle for longest.
     Idle,
-    /// Nobody: what holds the room is slow and may not be let go yet, and a usual peer makes no room for it.
-    Nobody,
+    /// The same, but nobody who has proved itself: there are not so many of those.
+    Unproven,
 }
 
+/// So many answers taken at a good rate prove a peer, however short: who reads nothing has left some untaken by
+/// then, unless its own machine takes them, and then nothing is held here.
+const SHORT_PROOFS: usize = 16;
+
 #[derive(Clone, Debug, Default)]
 struct Peer {
     live: bool,
@@ -214,7 +218,9 @@
         let input = table::read(&peer.out, now, &self.caps, peer.credit, short);
         let well = bytes == 0 && table::taken_well(&peer.out, now, &self.caps);
         peer.credit = match input {
-            Input::Little | Input::Early if well => peer.credit + peer.out.taken(),
+            Input::Little if well => {
+                peer.credit + peer.out.taken().max(self.caps.proof.div_ceil(SHORT_PROOFS))
+            }
             Input::Early | Input::Keeps | Input::Little => peer.credit,
             Input::Much | Input::Near | Input::Below | Input::Still => 0,
         };
@@ -325,10 +331,8 @@
             self.let_go += 1;
             return Asked::Peer(first);
         }
-        let slow = self.counts[State::Slow as usize] + self.counts[State::Stalled as usize];
-        // Who leaves an answer untaken is not known to be usual either, unless it has proved so.
-        let unproven = self.waiting.iter().filter(|id| self.peers[**id].state == State::New).count();
-        if slow + unproven > self.caps.connections { Asked::Nobody } else { Asked::Idle }
+        let proven = self.counts[State::Usual as usize];
+        if proven > self.caps.connections { Asked::Idle } else { Asked::Unproven }
     }
 
     /// Those with something untaken.
--- /dev/null
+++ b/rig/src/main.rs
@@ -0,0 +1,64 @@
+//! Owns the command line of the experiments: `leverpoint-rig run slow`.
+//!
+//! It plays and measures; what a figure is worth is said in docs/. It must never send anything beyond loopback.
+
+mod honest;
+mod record;
+mod report;
+mod slow;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::{OptionParser, Parser, construct, long};
+
+fn words() -> OptionParser<slow::Asked> {
+    let number = |name: &'static str, help: &'static str, usual: usize| {
+        long(name).help(help).argument::<usize>("N").fallback(usual).display_fallback()
+    };
+    let readers = number("readers", "Clients that read slowly", 100);
+    let writers = number("writers", "Clients that write slowly", 50);
+    let tricklers = number("tricklers", "Servers that trickle their answers, of two replicas more", 2);
+    let memory_mb = number("memory-mb", "The gateway's memory in MiB", 32);
+    let sockets = number("sockets", "The gateway's descriptors", 256);
+    let pairs = number("pairs", "Clean and slow periods, a pair each", 3);
+    let seed = long("seed").help("For all that is left to chance").argument::<u64>("N").fallback(1);
+    let short = long("short").help("Four seconds a period instead of ten").switch();
+    let out = long("out").help("Where tables and charts are written").argument::<PathBuf>("DIR");
+    let out = out.fallback("target/rig".into());
+    let without = long("without").help("Plays with this off: pace").argument::<String>("WHAT");
+    let known = |what: &String| what == "pace";
+    let without = without.guard(known, "expected pace").map(|_| true).fallback(false);
+    let program = long("program").help("The gateway; else the one beside this program").argument("FILE");
+    let program = program.optional();
+    let slow = construct!(slow::Asked {
+        readers,
+        writers,
+        tricklers,
+        memory_mb,
+        sockets,
+        pairs,
+        seed,
+        short,
+        out,
+        without,
+        program,
+    });
+    let slow = slow.to_options().descr("Slow readers, writers and servers beside honest clients");
+    let run = slow.command("slow").to_options().descr("Plays an experiment").command("run");
+    run.to_options().descr("Loads and experiments for leverpoint")
+}
+
+fn main() -> ExitCode {
+    let asked = words().run();
+    match slow::run(&asked) {
+        Ok(line) => {
+            println!("{}", serde_json::to_string(&line).unwrap_or_default());
+            if line.lost + line.wrong == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+        }
+        Err(why) => {
+            eprintln!("leverpoint-rig: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/record.rs
@@ -0,0 +1,64 @@
+//! Owns what honest clients have measured: a histogram and a count a second for each period.
+//!
+//! It must never drop a measure silently: what is longer than it can hold counts as the longest.
+
+use hdrhistogram::Histogram;
+
+/// Longest span that is told apart, in microseconds.
+const LONGEST: u64 = 60_000_000;
+
+/// One period's measures.
+#[derive(Clone)]
+pub struct Record {
+    pub took_us: Histogram<u64>,
+    pub asked: u64,
+    pub answered: u64,
+    pub throttled: u64,
+    pub failed: u64,
+    pub lost: u64,
+    pub wrong: u64,
+    /// Answers in each second.
+    pub seconds: Vec<u64>,
+}
+
+impl Record {
+    pub fn new(seconds: usize) -> Record {
+        let took_us = Histogram::new_with_bounds(1, LONGEST, 3).expect("bounds that hold");
+        let seconds = vec![0; seconds];
+        Record { took_us, asked: 0, answered: 0, throttled: 0, failed: 0, lost: 0, wrong: 0, seconds }
+    }
+
+    pub fn answered(&mut self, second: usize, took_us: u64) {
+        self.answered += 1;
+        self.took_us.saturating_record(took_us.max(1));
+        if let Some(count) = self.seconds.get_mut(second) {
+            *count += 1;
+        }
+    }
+
+    pub fn join(&mut self, other: &Record) {
+        let _ = self.took_us.add(&other.took_us);
+        for (mine, more) in [
+            (&mut self.asked, other.asked),
+            (&mut self.answered, other.answered),
+            (&mut self.throttled, other.throttled),
+            (&mut self.failed, other.failed),
+            (&mut self.lost, other.lost),
+            (&mut self.wrong, other.wrong),
+        ] {
+            *mine += more;
+        }
+        if self.seconds.len() < other.seconds.len() {
+            self.seconds.resize(other.seconds.len(), 0);
+        }
+        self.seconds.iter_mut().zip(&other.seconds).for_each(|(mine, more)| *mine += more);
+    }
+
+    pub fn ms(&self, percent: f64) -> f64 {
+        self.took_us.value_at_percentile(percent) as f64 / 1e3
+    }
+
+    pub fn answered_share(&self) -> f64 {
+        self.answered as f64 / self.asked.max(1) as f64
+    }
+}
--- /dev/null
+++ b/rig/src/slow.rs
@@ -0,0 +1,204 @@
+//! Owns the experiment with slow peers: clean and slow periods in turns within one run of the real program.
+//!
+//! It must never count a client that is slow among the honest ones.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use leverpoint_stands::agent::agent;
+use leverpoint_stands::crowd::{Asks, Crowd, Habit, Seen};
+use leverpoint_stands::gateway::{self, Gateway};
+use leverpoint_stands::member::{Member, Set};
+use leverpoint_stands::pace::Pace;
+use leverpoint_stands::wire::{http, list, target};
+use serde::Serialize;
+
+use crate::honest::{Honest, Line};
+use crate::record::Record;
+use crate::report;
+
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub readers: usize,
+    pub writers: usize,
+    pub tricklers: usize,
+    pub memory_mb: usize,
+    pub sockets: usize,
+    pub pairs: usize,
+    pub seed: u64,
+    pub short: bool,
+    pub out: PathBuf,
+    pub without: bool,
+    pub program: Option<PathBuf>,
+}
+
+/// What a run has come to: the honest clients' figures in slow periods over those in clean ones.
+#[derive(Debug, Serialize)]
+pub struct Figures {
+    pub pairs: usize,
+    pub answered_ratio: f64,
+    pub p50_ratio: f64,
+    pub p99_ratio: f64,
+    /// Answers in the worst second.
+    pub worst_second_ratio: f64,
+    pub peak_rss_mb: f64,
+    pub held_peak_bytes: u64,
+    pub let_go: u64,
+    pub lost: u64,
+    pub wrong: u64,
+}
+
+const HONEST: usize = 32;
+/// A server's work for a command: far above the noise of a busy machine, far below any target.
+const WORK: Duration = Duration::from_millis(4);
+/// What slow clients ask for, and for how long they wait.
+const LENGTH: usize = 64_000;
+const TIMEOUT: Duration = Duration::from_millis(2_000);
+/// After a slow period, what it left behind passes before the next clean one begins.
+const SETTLES: Duration = Duration::from_millis(2_500);
+
+const SETTINGS: &str = r#"{"balancers": 1, "me": 0, "tickMs": 5.0, "zone": 0, "zones": ["a"], "discovery": "pushed",
+    "contract": {"answerSlackMs": 20.0, "coldMs": 9000.0, "fallMs": 1500.0, "fallMultiple": 2.5, "startCapacity": 0.2,
+     "stopSendingWithinMs": 500.0},
+    "familyInfo": {"guards": "reject", "listRole": "delayed", "oldestDataMs": [0.0, 0.0, 0.0],
+     "readLevel": ["loose", "own_writes", "update"], "stamps": true, "tokens": "router"},
+    "grades": [
+     {"name": "view", "aimMs": 600.0, "deadlineMs": 2000.0, "semantics": "pure", "worth": 1.0},
+     {"name": "own", "aimMs": 400.0, "deadlineMs": 2000.0, "semantics": "pure", "worth": 2.0},
+     {"name": "report", "aimMs": 400.0, "deadlineMs": 2000.0, "semantics": "token", "group": "cell",
+      "keyTtlMs": 3000.0, "worth": 3.0, "lateWorth": 0.5}],
+    "policyLimits": {"sendCap": 4, "retryAfter": true, "maxRetryAfterMs": 2000.0, "connectTimeoutMs": 250.0,
+     "idleCloseMs": 15000.0},
+    "tenants": [{"name": "honest", "share": 0.5, "quotaPerS": 1000.0}, {"name": "venue", "share": 0.5, "quotaPerS": 1000.0}]}"#;
+
+/// Habits of slow clients, in turns.
+const READERS: [Habit; 5] = [
+    Habit::NeverReads,
+    Habit::Reads(4 << 10),
+    Habit::Reads(9 << 10),
+    Habit::Reads(1),
+    Habit::Stops(32_000, Duration::from_secs(10)),
+];
+const WRITERS: [Habit; 2] = [Habit::HalfSays, Habit::Writes(1, Duration::from_millis(50))];
+
+struct Stage {
+    gateway: Gateway,
+    set: Arc<Set>,
+    members: Vec<Member>,
+}
+
+fn set_up(asked: &Asked) -> Result<Stage, String> {
+    let beside = std::env::current_exe().map_err(|e| e.to_string())?.with_file_name("leverpoint");
+    let program = asked.program.clone().unwrap_or(beside);
+    if !program.is_file() {
+        return Err(format!("no gateway at {}: build it, or name it with --program", program.display()));
+    }
+    let set = Arc::new(Set::default());
+    let members: Vec<_> = (0..3 + asked.tricklers).map(|n| Member::start(&set, n == 0, WORK)).collect();
+    let targets: Vec<_> = members
+        .iter()
+        .enumerate()
+        .map(|(n, m)| {
+            target(&format!("s{n}"), &m.address, "up", if m.primary { "read-write" } else { "read-only" })
+        })
+        .collect();
+    let (agent, address) = (agent(), gateway::free_address());
+    let known = list(7, true, &targets);
+    let text = gateway::config(&address, &agent.address, &known, SETTINGS)
+        .replace("\"memory_mb\":192", &format!("\"memory_mb\":{}", asked.memory_mb))
+        .replace("\"sockets\":1024", &format!("\"sockets\":{}", asked.sockets));
+    std::fs::create_dir_all(&asked.out).map_err(|e| e.to_string())?;
+    let operator = asked.out.join("operator.hcl");
+    let words = if asked.without { "slow {\n  caps = false\n}\n" } else { "slow {}\n" };
+    std::fs::write(&operator, words).map_err(|e| e.to_string())?;
+    let operator = operator.display().to_string();
+    agent.say.send(http(&known)).map_err(|e| e.to_string())?;
+    let gateway = gateway::start(&text, address, agent, &program, &["--operator", &operator]);
+    Ok(Stage { gateway, set, members })
+}
+
+/// `VmHWM` of a process, in MiB.
+fn peak_rss_mb(pid: u32) -> f64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    line.and_then(|l| l.split_whitespace().next()?.parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
+}
+
+fn counted(line: &str, name: &str) -> u64 {
+    let value = line.split([' ', '"']).find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
+    value.and_then(|v| v.parse().ok()).unwrap_or(0)
+}
+
+pub fn run(asked: &Asked) -> Result<Figures, String> {
+    let mut stage = set_up(asked)?;
+    let to: SocketAddr = stage.gateway.address.parse().map_err(|_| "an address of its own".to_owned())?;
+    let seconds = if asked.short { 4 } else { 10 };
+    let mut chance = fastrand::Rng::with_seed(asked.seed);
+    let mut lines: Vec<_> =
+        (0..HONEST).map(|n| Line::new(to, format!("{:x}", 0xa00 + n), chance.u64(..))).collect();
+    let seen = Arc::new(Seen::default());
+    let mut periods: Vec<(bool, Record)> = Vec::new();
+    let play = |lines: Vec<Line>, span: Duration| {
+        let honest = Honest::start(lines, Instant::now(), span.as_secs() as usize);
+        sleep(span);
+        honest.end()
+    };
+    // Connections come up and times are learnt before anything is measured.
+    (_, lines) = play(lines, Duration::from_secs(2));
+    let mut first = 0x10_0000;
+    for pair in 0..asked.pairs {
+        let record;
+        (record, lines) = play(lines, Duration::from_secs(seconds));
+        periods.push((false, record));
+        eprintln!("pair {} of {}: clean period played", pair + 1, asked.pairs);
+        for member in &stage.members[3..] {
+            member.set_pace(Pace::Trickle(1, Duration::from_millis(50)));
+        }
+        let habits = |of: &[Habit], n: usize| (0..n).map(|i| of[i % of.len()]).collect::<Vec<_>>();
+        let asks =
+            Asks { group: "view".into(), customer: "venue".into(), set: 2, length: LENGTH, timeout: TIMEOUT };
+        let readers = Crowd::start(to, &habits(&READERS, asked.readers), &asks, &seen, first);
+        first += 0x1_0000;
+        let writers = Crowd::start(to, &habits(&WRITERS, asked.writers), &asks, &seen, first);
+        first += 0x1_0000;
+        let record;
+        (record, lines) = play(lines, Duration::from_secs(seconds));
+        periods.push((true, record));
+        drop((readers, writers));
+        stage.members.iter().for_each(|member| member.set_pace(Pace::Whole));
+        eprintln!("pair {} of {}: slow period played", pair + 1, asked.pairs);
+        (_, lines) = play(lines, SETTLES);
+    }
+    drop(lines);
+    let rss = peak_rss_mb(stage.gateway.child.id());
+    let line = stage.gateway.peers_at_end();
+    let (twice, _) = stage.set.effects();
+    let sum = |slow: bool| {
+        let mut all = Record::new(0);
+        let mut seconds = Vec::new();
+        for (_, record) in periods.iter().filter(|(s, _)| *s == slow) {
+            all.join(record);
+            seconds.extend(record.seconds.iter().copied());
+        }
+        (all, seconds.into_iter().min().unwrap_or(0))
+    };
+    let ((clean, clean_worst), (slow, slow_worst)) = (sum(false), sum(true));
+    let figures = Figures {
+        pairs: asked.pairs,
+        answered_ratio: slow.answered_share() / clean.answered_share(),
+        p50_ratio: slow.ms(50.0) / clean.ms(50.0),
+        p99_ratio: slow.ms(99.0) / clean.ms(99.0),
+        worst_second_ratio: slow_worst as f64 / clean_worst.max(1) as f64,
+        peak_rss_mb: rss,
+        held_peak_bytes: counted(&line, "held.peak"),
+        let_go: counted(&line, "peers.let_go"),
+        lost: clean.lost + slow.lost + seen.lost.load(Relaxed),
+        wrong: clean.wrong + slow.wrong + seen.wrong.load(Relaxed) + twice,
+    };
+    report::write(asked, &periods, &figures, &seen, &line).map_err(|e| e.to_string())?;
+    Ok(figures)
+}
--- /dev/null
+++ b/stands/src/crowd.rs
@@ -0,0 +1,275 @@
+//! Owns clients that read or write slowly, by the hundred, and counts what becomes of them.
+//!
+//! They come back a moment after they were let go. What they were owed and did not get is counted as lost only
+//! where the gateway ended it itself before their client timeout. They must never read faster than they are to.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::thread::{self, JoinHandle, sleep};
+use std::time::{Duration, Instant};
+
+use socket2::{Domain, Socket, Type};
+
+use crate::values::made;
+use crate::wire::{STARTUP, query};
+
+/// How one of them behaves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Habit {
+    /// Asks and never reads.
+    NeverReads,
+    /// Reads so many bytes a second.
+    Reads(usize),
+    /// Reads well up to so many bytes, then not for so long, then well.
+    Stops(usize, Duration),
+    /// Says half a statement and no more.
+    HalfSays,
+    /// Says its statement so many bytes at a time, with a pause before each next.
+    Writes(usize, Duration),
+}
+
+/// What is asked.
+#[derive(Clone, Debug)]
+pub struct Asks {
+    pub group: String,
+    pub customer: String,
+    pub set: u16,
+    /// Bytes of the answer.
+    pub length: usize,
+    /// The client timeout.
+    pub timeout: Duration,
+}
+
+/// What became of a crowd's commands and connections.
+#[derive(Debug, Default)]
+pub struct Seen {
+    pub connected: AtomicU64,
+    pub asked: AtomicU64,
+    pub answered: AtomicU64,
+    pub throttled: AtomicU64,
+    pub failed: AtomicU64,
+    /// The connection ended, in the middle of an answer or before it, after the client timeout.
+    pub let_go: AtomicU64,
+    /// The connection ended before anything was said on it to that command, which may go again on another.
+    pub crossed: AtomicU64,
+    /// The connection ended within the client timeout in the middle of an answer.
+    pub lost: AtomicU64,
+    pub wrong: AtomicU64,
+}
+
+pub fn add(count: &AtomicU64) {
+    count.fetch_add(1, Relaxed);
+}
+
+/// A crowd at work; it ends when it is dropped.
+pub struct Crowd {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// How long one waits before it comes back.
+const COMES_BACK: Duration = Duration::from_millis(50);
+/// How often one that does nothing looks whether it is to stop.
+const LOOK: Duration = Duration::from_millis(100);
+/// Most that its kernel takes for one, in bytes: a phone's buffer is larger, and hides it for as long.
+const BUFFER: usize = 2 << 10;
+
+impl Crowd {
+    /// One client for each habit, all coming in the same moment.
+    pub fn start(to: SocketAddr, habits: &[Habit], asks: &Asks, seen: &Arc<Seen>, first: u64) -> Crowd {
+        let stop = Arc::new(AtomicBool::new(false));
+        let member = |(n, habit): (usize, &Habit)| {
+            let member = Member {
+                to,
+                habit: *habit,
+                asks: asks.clone(),
+                seen: seen.clone(),
+                stop: stop.clone(),
+                name: format!("{:x}", first + n as u64),
+                next: 0,
+            };
+            thread::Builder::new().stack_size(256 << 10).spawn(move || member.run()).ok()
+        };
+        let threads = habits.iter().enumerate().filter_map(member).collect();
+        Crowd { stop, threads }
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.stop.store(true, Relaxed);
+        self.threads.drain(..).for_each(|thread| drop(thread.join()));
+    }
+}
+
+struct Member {
+    to: SocketAddr,
+    habit: Habit,
+    asks: Asks,
+    seen: Arc<Seen>,
+    stop: Arc<AtomicBool>,
+    name: String,
+    next: u64,
+}
+
+fn slow_connection(to: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
+    socket.set_recv_buffer_size(BUFFER)?;
+    socket.connect_timeout(&to.into(), Duration::from_secs(2))?;
+    socket.set_read_timeout(Some(LOOK))?;
+    socket.set_write_timeout(Some(LOOK))?;
+    Ok(socket.into())
+}
+
+impl Member {
+    fn run(mut self) {
+        while !self.stop.load(Relaxed) {
+            if let Ok(mut stream) = slow_connection(self.to) {
+                add(&self.seen.connected);
+                let _ = self.talk(&mut stream);
+            }
+            sleep(COMES_BACK);
+        }
+    }
+
+    fn stopped(&self) -> io::Result<()> {
+        if self.stop.load(Relaxed) { Err(io::ErrorKind::Interrupted.into()) } else { Ok(()) }
+    }
+
+    /// Reads what comes now, up to so much; 0 bytes after a look in which nothing came.
+    fn some(&self, stream: &mut TcpStream, bytes: &mut [u8]) -> io::Result<usize> {
+        self.stopped()?;
+        match stream.read(bytes) {
+            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => Ok(0),
+            read => read,
+        }
+    }
+
+    /// Commands one after the other on one connection, until it ends.
+    fn talk(&mut self, stream: &mut TcpStream) -> io::Result<()> {
+        stream.write_all(STARTUP)?;
+        let mut admitted = Vec::new();
+        let mut bytes = [0; 512];
+        while !admitted.ends_with(b"Z\0\0\0\x05I") {
+            let n = self.some(stream, &mut bytes)?;
+            admitted.extend_from_slice(&bytes[..n]);
+        }
+        loop {
+            self.next += 1;
+            let id = format!("{}c{}", self.name, self.next);
+            let (asks, wait) = (&self.asks, self.asks.timeout.as_millis());
+            let text = format!(
+                "SELECT v FROM records WHERE k = '{}-{}' /* id={id},c={},t={},d={wait},cluster={} */",
+                asks.length, self.name, asks.group, asks.customer, asks.set
+            );
+            let bytes = query(&text);
+            match self.habit {
+                Habit::HalfSays => {
+                    stream.write_all(&bytes[..bytes.len() / 2])?;
+                    self.hold_on(stream)?;
+                }
+                Habit::Writes(at_a_time, pause) => {
+                    for piece in bytes.chunks(at_a_time) {
+                        self.stopped()?;
+                        stream.write_all(piece)?;
+                        sleep(pause);
+                    }
+                }
+                _ => stream.write_all(&bytes)?,
+            }
+            add(&self.seen.asked);
+            let sent = Instant::now();
+            let mut heard = Vec::new();
+            match self.hear(stream, &mut heard) {
+                Ok(()) => self.judge(&id, &heard),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => return Err(e),
+                Err(e) => {
+                    let seen = &self.seen;
+                    add(if sent.elapsed() >= self.asks.timeout {
+                        &seen.let_go
+                    } else if heard.is_empty() {
+                        &seen.crossed
+                    } else if heard[0] == b'E' {
+                        // Sent back with an error, whole or cut by what follows it.
+                        &seen.throttled
+                    } else {
+                        &seen.lost
+                    });
+                    return Err(e);
+                }
+            }
+            // One that is sent back does not ask in the same moment.
+            sleep(COMES_BACK);
+        }
+    }
+
+    /// Waits, without a word, for the connection's end.
+    fn hold_on(&self, stream: &mut TcpStream) -> io::Result<()> {
+        let mut bytes = [0; 64];
+        loop {
+            self.some(stream, &mut bytes)?;
+        }
+    }
+
+    /// Reads an answer up to ReadyForQuery, as its habit is.
+    fn hear(&self, stream: &mut TcpStream, heard: &mut Vec<u8>) -> io::Result<()> {
+        let mut bytes = [0; 1 << 10];
+        let mut stopped = false;
+        while !heard.ends_with(b"Z\0\0\0\x05I") {
+            match self.habit {
+                Habit::NeverReads => {
+                    // An end without a word, a reset, can be told without reading.
+                    self.stopped()?;
+                    sleep(LOOK);
+                    if let Some(e) = stream.take_error()? {
+                        return Err(e);
+                    }
+                }
+                Habit::Reads(rate) => {
+                    let at_a_time = rate.div_ceil(10).min(bytes.len());
+                    let n = self.some(stream, &mut bytes[..at_a_time])?;
+                    heard.extend_from_slice(&bytes[..n]);
+                    self.stopped()?;
+                    sleep(Duration::from_secs_f64(n as f64 / rate as f64));
+                }
+                Habit::Stops(after, span) if heard.len() >= after && !stopped => {
+                    stopped = true;
+                    let until = Instant::now() + span;
+                    while Instant::now() < until {
+                        self.stopped()?;
+                        sleep(LOOK);
+                    }
+                }
+                _ => {
+                    let n = self.some(stream, &mut bytes)?;
+                    heard.extend_from_slice(&bytes[..n]);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn judge(&self, id: &str, heard: &[u8]) {
+        let seen = &self.seen;
+        match crate::client::judged(heard, &made(id, self.asks.length)) {
+            Judged::Answered => add(&seen.answered),
+            Judged::Wrong => add(&seen.wrong),
+            Judged::Throttled(_) => add(&seen.throttled),
+            Judged::Failed => add(&seen.failed),
+        }
+    }
+}
+
+/// What a whole answer is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Judged {
+    Answered,
+    /// A row with a value that was not made for this command.
+    Wrong,
+    /// With the milliseconds to come back in, 0 where none are said.
+    Throttled(u64),
+    Failed,
+}
--- /dev/null
+++ b/stands/src/gateway.rs
@@ -0,0 +1,149 @@
+//! Owns the real program as a test or an experiment starts it: its configuration, its log and its end.
+//!
+//! It must never read the program's state but by what it prints.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{self, Receiver};
+use std::thread;
+
+use crate::agent::{Agent, agent};
+use crate::client::Client;
+use crate::server::Server;
+use crate::wire::{LONG, STARTUP, http, list, target};
+
+pub struct Gateway {
+    pub child: Child,
+    pub file: PathBuf,
+    pub address: String,
+    pub log: Receiver<String>,
+    pub agent: Agent,
+}
+
+static STARTED: AtomicU32 = AtomicU32::new(0);
+
+/// An address of its own: a free port of a loopback address that no other test has.
+pub fn free_address() -> String {
+    let nth = STARTED.fetch_add(1, Ordering::Relaxed);
+    let free = TcpListener::bind(format!("127.7.{}.{}:0", std::process::id() % 250, nth + 1));
+    free.unwrap().local_addr().unwrap().to_string()
+}
+
+pub fn config(address: &str, agent: &str, known: &str, settings: &str) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"{address}","discovery":"{agent}","seed":"8c1f30d27a5be964",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{settings}}}"#
+    )
+}
+
+/// A gateway of this program that has these servers on its list, in this memory (MiB) and with so many
+/// descriptors; `words` go behind `serve`.
+pub fn gateway_with(
+    program: &Path,
+    servers: &[(&Server, &str)],
+    settings: &str,
+    limits: (usize, usize),
+    words: &[&str],
+) -> Gateway {
+    let agent = agent();
+    let targets: Vec<_> = servers
+        .iter()
+        .enumerate()
+        .map(|(i, (s, mode))| target(&format!("s{i}"), &s.address, "up", mode))
+        .collect();
+    let address = free_address();
+    let text = config(&address, &agent.address, &list(7, true, &targets), settings);
+    let gateway = start(
+        &text.replace("192,", &format!("{},", limits.0)).replace("1024", &limits.1.to_string()),
+        address,
+        agent,
+        program,
+        words,
+    );
+    // The first ask is answered with the list that is held already; what follows is the test's.
+    gateway.agent.say.send(http(&list(7, true, &targets))).unwrap();
+    gateway.agent.asked.recv_timeout(LONG).unwrap();
+    gateway.agent.asked.recv_timeout(LONG).unwrap();
+    gateway
+}
+
+/// The program with this configuration, once it serves.
+pub fn start(text: &str, address: String, agent: Agent, program: &Path, words: &[&str]) -> Gateway {
+    let name = address.replace([':', '.'], "-");
+    let file = std::env::temp_dir().join(format!("leverpoint-{}-{name}.json", std::process::id()));
+    std::fs::write(&file, text).unwrap();
+    let mut child = Command::new(program)
+        .arg("serve")
+        .args(words)
+        .env("NODE_CONFIG", &file)
+        .env("NODE_DISCOVERY", &agent.address)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let (tell, log) = mpsc::channel();
+    let stderr = BufReader::new(child.stderr.take().unwrap());
+    thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
+    let gateway = Gateway { child, file, address, log, agent };
+    gateway.logged("event=\"serving\"");
+    gateway
+}
+
+impl Gateway {
+    pub fn logged(&self, what: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(LONG).expect(what);
+            if line.contains(what) {
+                return line;
+            }
+        }
+    }
+
+    pub fn counters(&self) -> String {
+        self.signal("-USR1");
+        self.logged("event=\"counters\"")
+    }
+
+    pub fn signal(&self, name: &str) {
+        Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+    }
+
+    /// Ends it in order and returns what its counters say of these names.
+    pub fn end(mut self, names: &[&str]) -> String {
+        self.signal("-TERM");
+        let line = self.logged("event=\"counters\"");
+        assert!(self.child.wait().unwrap().success());
+        let counted = |name: &&str| {
+            let value = line.split([' ', '"']).find_map(|w| w.strip_prefix(*name)?.strip_prefix('='));
+            format!("{name}={} ", value.unwrap_or("?"))
+        };
+        names.iter().map(counted).collect()
+    }
+
+    /// Ends it in order and returns what it says of its peers.
+    pub fn peers_at_end(&mut self) -> String {
+        self.signal("-TERM");
+        let line = self.logged("event=\"peers\"");
+        let _ = self.child.wait();
+        line
+    }
+
+    pub fn client(&self) -> Client {
+        let mut stream = TcpStream::connect(&self.address).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.write_all(STARTUP).unwrap();
+        let mut client = Client { stream };
+        client.answer();
+        client
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
--- /dev/null
+++ b/stands/src/lib.rs
@@ -0,0 +1,15 @@
+//! Stand-ins on loopback for what a gateway meets, written from public protocols: database servers, discovery's
+//! agent, clients of several paces, and the real program itself as a test or an experiment starts it.
+//!
+//! They judge nothing but whether a value is the one made for a command ([`values`]). Nothing here listens or
+//! connects anywhere but on loopback, and every wait has an end.
+
+pub mod agent;
+pub mod client;
+pub mod crowd;
+pub mod gateway;
+pub mod member;
+pub mod pace;
+pub mod server;
+pub mod values;
+pub mod wire;
