Hard cases of slow peers as tests; rows alone prove a peer; lists are read an entry at a time

Change: only rows count towards a proof, and what is untaken is looked at when the peer says more. Entries of a list are read one at a time; the configuration's list is kept as text until it is told.

--- /dev/null
+++ b/deploy/operator.hcl
@@ -0,0 +1,9 @@
+# The operator's own file, for `leverpoint serve --operator deploy/operator.hcl`. The platform's JSON has no word for
+# what stands here. Every key may be absent: what is not said follows from the limits and the settings. Not named in
+# `run`: on the users' platform all defaults hold. `leverpoint check --schema` prints what may be said.
+
+slow {
+  least_rate = "8KiB/s"
+  grace      = "2s"
+  stall      = "1s"
+}
--- a/facts/src/node.rs
+++ b/facts/src/node.rs
@@ -1,8 +1,11 @@
 //! What a gateway is told about itself: `NODE_*` and the file that `NODE_CONFIG` names.
 
+use std::fmt;
 use std::net::SocketAddr;
 
-use serde_json::Value;
+use serde::de::{Deserialize, Deserializer, MapAccess, Visitor};
+use serde_json::value::RawValue;
+use serde_json::{Map, Value};
 
 use crate::file;
 use crate::key::{Fault, Key, compare};
@@ -24,8 +27,9 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub limits: Limits,
-    /// The list of servers as last held, in the form that discovery gives it.
-    pub known: Option<Value>,
+    /// The list of servers as last held, in the form that discovery gives it, as text: its tree would take many
+    /// times as much.
+    pub known: Option<Box<RawValue>>,
     pub opened: Opened,
 }
 
@@ -42,6 +46,40 @@
     }
 }
 
+/// A configuration with its list of servers apart.
+struct Document {
+    rest: Value,
+    known: Option<Box<RawValue>>,
+}
+
+impl<'de> Deserialize<'de> for Document {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        struct Keys;
+
+        impl<'de> Visitor<'de> for Keys {
+            type Value = Document;
+
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("an object")
+            }
+
+            fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Document, A::Error> {
+                let (mut rest, mut known) = (Map::new(), None);
+                while let Some(key) = map.next_key::<String>()? {
+                    if key == "known" {
+                        known = Some(map.next_value()?);
+                    } else {
+                        rest.insert(key, map.next_value()?);
+                    }
+                }
+                Ok(Document { rest: Value::Object(rest), known })
+            }
+        }
+
+        from.deserialize_map(Keys)
+    }
+}
+
 /// Reads the environment that `var` looks up, and the file that it names. A variable that is set goes before
 /// the key of the file that says the same.
 pub fn from_environment(var: impl Fn(&str) -> Option<String>) -> Result<Node, Fault> {
@@ -58,9 +96,9 @@
 /// Reads a file as it stands; `var` looks up the variable beside a key.
 pub fn from_file(path: &str, var: impl Fn(&str, &Key<'_>) -> Option<String>) -> Result<Node, Fault> {
     let text = file::read("NODE_CONFIG", path)?;
-    let mut document: Value = serde_json::from_slice(&text)
+    let Document { rest: document, known } = serde_json::from_slice(&text)
         .map_err(|e| Fault::new(format!("NODE_CONFIG: expected a file of JSON, but {e}")))?;
-    let known = document.get_mut("known").map(Value::take).filter(|known| !known.is_null());
+    let known = known.filter(|known| known.get() != "null");
     let top = Key::root(&document);
     let address = |name: &str, variable: &str| {
         let expected = "an address like 127.0.0.1:6432";
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -169,6 +169,7 @@
                     }
                 }
             };
+            self.peer.says_more();
             shown = if self.peer.is_usual() { Shown::Proven } else { Shown::Message };
             if due.take().is_some() {
                 self.peer.whole();
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -4,12 +4,15 @@
 //! here judges a list or keeps one.
 
 use std::cell::Cell;
+use std::fmt::{self, Formatter};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use leverpoint::interface::{News, Phase};
+use serde::Deserialize;
+use serde::de::{Deserializer, SeqAccess, Visitor};
 use serde_json::Value;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
@@ -34,9 +37,43 @@
 }
 
 /// Reads a list; an entry without what names it is left out.
-pub fn told(value: &Value) -> Option<Told> {
-    let entries = value.get("targets")?.as_array()?.iter().filter_map(entry).collect();
-    Some(Told { revision: value.get("rev")?.as_u64()?, whole: value.get("all")?.as_bool()?, entries })
+pub fn told(text: &[u8]) -> Option<Told> {
+    let List { rev, all, targets } = serde_json::from_slice(text).ok()?;
+    Some(Told { revision: rev, whole: all, entries: targets.0 })
+}
+
+#[derive(Deserialize)]
+struct List {
+    rev: u64,
+    all: bool,
+    targets: Targets,
+}
+
+/// Entries, read one at a time: the tree of a list of ten thousand would take more than the smallest machine has.
+struct Targets(Vec<Entry>);
+
+impl<'de> Deserialize<'de> for Targets {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        struct Each;
+
+        impl<'de> Visitor<'de> for Each {
+            type Value = Targets;
+
+            fn expecting(&self, f: &mut Formatter<'_>) -> fmt::Result {
+                f.write_str("a list of servers")
+            }
+
+            fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Targets, A::Error> {
+                let mut entries = Vec::new();
+                while let Some(value) = seq.next_element::<Value>()? {
+                    entries.extend(entry(&value));
+                }
+                Ok(Targets(entries))
+            }
+        }
+
+        from.deserialize_seq(Each)
+    }
 }
 
 fn entry(value: &Value) -> Option<Entry> {
@@ -109,7 +146,7 @@
         };
         let answer = timeout(wait, agent.ask(&path)).await;
         let answer = answer.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
-        match answer.map(|body| serde_json::from_slice(&body).ok().and_then(|v| told(&v))) {
+        match answer.map(|body| told(&body)) {
             Ok(Some(told)) => {
                 add(&exchange.counters.lists);
                 if std::mem::replace(&mut failing, false) {
@@ -238,6 +275,7 @@
         return Err(garbled());
     }
     let whole = body.len() + length;
+    body.reserve_exact(length);
     loop {
         let there = link.input.len().min(whole - body.len());
         body.append(&mut link.input.take(there));
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -229,6 +229,13 @@
         self.left(self.untaken());
     }
 
+    /// It has said something: what it had not acknowledged after the last answer it may have with this.
+    pub fn says_more(&self) {
+        if self.of.pace.borrow().untaken(self.id) > 0 {
+            self.left(self.untaken());
+        }
+    }
+
     /// The writing has not come to its end yet, for longer than a look takes.
     pub fn lingers(&self) {
         self.left(self.untaken());
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -54,7 +54,7 @@
     TcpListener::from_std(socket.into())
 }
 
-async fn serve(node: Node, mut operator: Operator, log: slog::Logger) -> io::Result<()> {
+async fn serve(mut node: Node, mut operator: Operator, log: slog::Logger) -> io::Result<()> {
     // Before all else: from here on none of them ends the program by itself.
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
@@ -72,7 +72,7 @@
     let listener = listen(&node, &caps)?;
     let exchange = Exchange::new(node.opened.clone(), counters.clone(), log.clone());
     exchange.set_carrier(Rc::new(servers.clone()));
-    if let Some(known) = node.known.as_ref().and_then(discovery::told) {
+    if let Some(known) = node.known.take().and_then(|known| discovery::told(known.get().as_bytes())) {
         exchange.list(News::Remembered, &known.entries);
     }
     slog::info!(log, "serving"; "name" => &node.name, "listen" => node.listen.to_string());
--- /dev/null
+++ b/gateway/tests/slow.rs
@@ -0,0 +1,261 @@
+//! Slow peers beside honest ones, on the program as it is: each hard case is caused, none is waited for by the clock.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
+
+use leverpoint_stands::crowd::{Asks, Crowd, Habit, Seen};
+use leverpoint_stands::gateway::{self as stands, Gateway};
+use leverpoint_stands::pace::Pace;
+use leverpoint_stands::server::{Does, Server, heard, rows, server};
+use leverpoint_stands::wire::{insert, query, select};
+
+/// Client timeouts near enough that what is past them can be waited for, targets far from both.
+const SETTINGS: &str = r#"{"balancers": 1, "me": 0, "tickMs": 5.0, "zone": 0, "zones": ["a"], "discovery": "pushed",
+    "contract": {"answerSlackMs": 20.0, "coldMs": 9000.0, "fallMs": 1500.0, "fallMultiple": 2.5, "startCapacity": 0.2,
+     "stopSendingWithinMs": 500.0},
+    "familyInfo": {"guards": "reject", "listRole": "delayed", "oldestDataMs": [0.0, 0.0, 0.0],
+     "readLevel": ["loose", "loose", "update"], "stamps": true, "tokens": "router"},
+    "grades": [
+     {"name": "view", "aimMs": 30000.0, "deadlineMs": 60000.0, "semantics": "pure", "worth": 1.0, "lateWorth": 1.0},
+     {"name": "short", "aimMs": 900.0, "deadlineMs": 1000.0, "semantics": "pure", "worth": 1.0},
+     {"name": "report", "aimMs": 30000.0, "deadlineMs": 60000.0, "semantics": "token", "group": "cell",
+      "keyTtlMs": 3000.0, "worth": 3.0, "lateWorth": 0.5}],
+    "policyLimits": {"sendCap": 4, "retryAfter": true, "maxRetryAfterMs": 2000.0, "connectTimeoutMs": 250.0,
+     "idleCloseMs": 15000.0},
+    "tenants": [{"name": "acme", "share": 1.0, "quotaPerS": 100.0}, {"name": "venue", "share": 1.0, "quotaPerS": 100.0}]}"#;
+
+fn gateway(servers: &[(&Server, &str)], limits: (usize, usize), words: &[&str]) -> Gateway {
+    stands::gateway_with(Path::new(env!("CARGO_BIN_EXE_leverpoint")), servers, SETTINGS, limits, words)
+}
+
+fn long_value() -> String {
+    "v".repeat(60_000)
+}
+
+fn asks(length: usize) -> Asks {
+    let (group, customer, timeout) = ("short".into(), "venue".into(), Duration::from_millis(900));
+    Asks { group, customer, set: 2, length, timeout }
+}
+
+fn address(gateway: &Gateway) -> SocketAddr {
+    gateway.address.parse().unwrap()
+}
+
+/// An honest client's answers to so many reads, as often as it takes where it is sent back: how many were rows.
+fn honest(gateway: &Gateway, many: usize) -> usize {
+    let mut client = gateway.client();
+    (0..many).filter(|_| client.ask(&select("view")).starts_with("T D ")).count()
+}
+
+fn counted(line: &str, name: &str) -> u64 {
+    let value = line.split([' ', '"']).find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
+    value.and_then(|v| v.parse().ok()).unwrap_or_else(|| panic!("{name} in {line}"))
+}
+
+/// A crowd of so many that never read, beside an honest client that is there before and one that comes later.
+fn beside_a_crowd(many: usize, limits: (usize, usize)) {
+    let replica = server("read-only", rows(&long_value()));
+    let primary = server("read-write", rows("honest"));
+    let gateway = gateway(&[(&primary, "read-write"), (&replica, "read-only")], limits, &[]);
+    let mut first = gateway.client();
+    for _ in 0..20 {
+        assert_eq!(first.ask(&insert("report")), "T D honest C Z");
+    }
+    let seen = Arc::new(Seen::default());
+    let crowd =
+        Crowd::start(address(&gateway), &vec![Habit::NeverReads; many], &asks(60_000), &seen, 1 << 20);
+    while seen.asked.load(Relaxed) < 2 * many as u64 {
+        assert_eq!(first.ask(&insert("report")), "T D honest C Z");
+    }
+    drop(crowd);
+    // Whoever of them is still known is let go, and all that was held comes back.
+    let mut gateway = gateway;
+    let line = gateway.peers_at_end();
+    assert!(counted(&line, "peers.let_go") > 0, "{line}");
+    assert_eq!((counted(&line, "held.answers"), counted(&line, "held.statements")), (0, 0), "{line}");
+    assert_eq!((seen.lost.load(Relaxed), seen.wrong.load(Relaxed)), (0, 0));
+}
+
+#[test]
+fn two_hundred_phones_that_never_read_harm_no_honest_client() {
+    beside_a_crowd(200, (32, 1024));
+}
+
+#[test]
+fn four_hundred_of_them_harm_none_with_few_descriptors_either() {
+    beside_a_crowd(400, (32, 256));
+}
+
+#[test]
+fn an_answer_that_trickles_or_stalls_sends_the_read_on_and_is_no_row() {
+    let mut trace = String::new();
+    let paces = [
+        ("a byte each 50 ms", Pace::Trickle(1, Duration::from_millis(50))),
+        ("a stall in the description", Pace::Stall(9)),
+        ("a stall in the row", Pace::Stall(30_000)),
+    ];
+    for (what, pace) in paces {
+        let slow = server("read-only", vec![Does::Paced(long_value(), pace)]);
+        let primary = server("read-write", rows("whole"));
+        let gateway = gateway(&[(&primary, "read-write"), (&slow, "read-only")], (32, 256), &[]);
+        // A time that answers usually take is known, so the dispatch to the slow one is not waited for in full.
+        let mut client = gateway.client();
+        trace += &format!("{what}: {}", client.ask(&select("short")));
+        heard(&slow);
+        trace +=
+            &format!("; {}\n", gateway.end(&["answered", "dispatched", "ended.Reset", "ended.TimedOut"]));
+    }
+    insta::assert_snapshot!(trace);
+}
+
+#[test]
+fn a_write_that_trickles_has_its_whole_time() {
+    let pace = Pace::Trickle(8, Duration::from_millis(20));
+    let primary = server("read-write", vec![Does::Paced("late".into(), pace)]);
+    let gateway = gateway(&[(&primary, "read-write")], (32, 256), &[]);
+    assert_eq!(gateway.client().ask(&insert("report")), "T D late C Z");
+    assert_eq!(
+        gateway.end(&["answered", "dispatched", "ended.Answered"]),
+        "answered=1 dispatched=1 ended.Answered=1 "
+    );
+}
+
+#[test]
+fn a_server_that_is_never_ready_after_its_row_holds_nothing() {
+    let primary =
+        server("read-write", vec![Does::Paced("row".into(), Pace::NeverReady), Does::Row("next".into())]);
+    let gateway = gateway(&[(&primary, "read-write")], (32, 256), &[]);
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&insert("report")), "T D row C Z");
+    assert_eq!(client.ask(&insert("report")), "T D next C Z");
+    // The dispatch would have been waited for over a minute; it has ended, and its index is free.
+    while counted(&gateway.counters(), "ended.Answered") < 2 {}
+    assert_eq!(
+        gateway.end(&["answered", "ended.Answered", "servers.opened"]),
+        "answered=2 ended.Answered=2 servers.opened=2 "
+    );
+}
+
+#[test]
+fn a_phone_that_stops_in_the_middle_is_let_go_once_nothing_is_owed_to_it() {
+    let primary = server("read-write", rows(&long_value()));
+    let gateway = gateway(&[(&primary, "read-write")], (32, 256), &[]);
+    let seen = Arc::new(Seen::default());
+    let habits = [Habit::Stops(20_000, Duration::from_secs(60))];
+    let crowd = Crowd::start(address(&gateway), &habits, &asks(60_000), &seen, 1 << 20);
+    let line = gateway.logged("event=\"peer let go\"");
+    assert!(line.contains("why=\"too slow\"") && line.contains("state=\"Stalled\""), "{line}");
+    assert!(honest(&gateway, 20) == 20);
+    drop(crowd);
+    assert_eq!(seen.lost.load(Relaxed), 0);
+}
+
+#[test]
+fn writers_of_half_a_statement_hear_an_error_and_hold_nobody_up() {
+    let primary = server("read-write", rows("honest"));
+    let gateway = gateway(&[(&primary, "read-write")], (32, 256), &[]);
+    let seen = Arc::new(Seen::default());
+    let mut habits = vec![Habit::HalfSays; 40];
+    habits.extend([Habit::Writes(1, Duration::from_millis(50)); 20]);
+    let crowd = Crowd::start(address(&gateway), &habits, &asks(300), &seen, 1 << 20);
+    // One more of them, to hear what it is told.
+    let mut half = gateway.client();
+    half.send(&query(&select("view"))[..40]);
+    assert_eq!(half.answer(), "E C08P01 end");
+    assert_eq!(honest(&gateway, 50), 50);
+    drop(crowd);
+    assert_eq!((seen.answered.load(Relaxed), seen.lost.load(Relaxed)), (0, 0));
+}
+
+#[test]
+fn a_long_statement_that_keeps_the_least_rate_is_heard_though_it_takes_longer_than_the_grace() {
+    let primary = server("read-write", rows("heard"));
+    let gateway = gateway(&[(&primary, "read-write")], (32, 256), &[]);
+    let mut client = gateway.client();
+    let text = insert("report").replace("\\x9f", &format!("\\x{}", "9f".repeat(32_000)));
+    let bytes = query(&text);
+    for piece in bytes.chunks(bytes.len() / 30) {
+        client.send(piece);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(client.answer(), "T D heard C Z");
+}
+
+#[test]
+fn slow_readers_beside_servers_that_fail_leave_repeats_their_way() {
+    let mut does: Vec<_> =
+        (0..40).map(|n| if n % 2 == 0 { Does::Drop } else { Does::Row(long_value()) }).collect();
+    does.push(Does::Row(long_value()));
+    let failing = server("read-only", does);
+    let primary = server("read-write", rows("whole"));
+    let gateway = gateway(&[(&primary, "read-write"), (&failing, "read-only")], (32, 256), &[]);
+    let seen = Arc::new(Seen::default());
+    let crowd = Crowd::start(address(&gateway), &[Habit::NeverReads; 60], &asks(60_000), &seen, 1 << 20);
+    assert_eq!(honest(&gateway, 60), 60);
+    drop(crowd);
+    assert_eq!((seen.lost.load(Relaxed), seen.wrong.load(Relaxed)), (0, 0));
+}
+
+#[test]
+fn signals_are_heard_with_slow_readers_open() {
+    let primary = server("read-write", rows(&long_value()));
+    let file = std::env::temp_dir().join(format!("leverpoint-operator-{}.hcl", std::process::id()));
+    std::fs::write(&file, "slow {\n  grace = \"2s\"\n}\n").unwrap();
+    let path = file.display().to_string();
+    let gateway = gateway(&[(&primary, "read-write")], (32, 256), &["--operator", &path]);
+    let seen = Arc::new(Seen::default());
+    let crowd = Crowd::start(address(&gateway), &[Habit::NeverReads; 30], &asks(60_000), &seen, 1 << 20);
+    let mut trace = String::new();
+    for (name, text) in [
+        ("shorter", "slow {\n  grace = \"500ms\"\n  stall = \"300ms\"\n}\n"),
+        ("faulty", "slow {\n  grace = 3\n}\n"),
+        ("kernel", "slow {\n  kernel = \"16KiB\"\n}\n"),
+    ] {
+        std::fs::write(&file, text).unwrap();
+        gateway.signal("-HUP");
+        let line = gateway.logged("event=\"operator's file");
+        trace += &format!("{name}:{}\n", line.split_once("event=").unwrap().1.replace(&path, "FILE"));
+        if name == "shorter" {
+            gateway.logged("event=\"peer let go\"");
+        }
+    }
+    // It ends in order, within the longest client timeout of what it has taken.
+    drop(crowd);
+    trace += &gateway.end(&["failed"]);
+    let _ = std::fs::remove_file(&file);
+    insta::assert_snapshot!(trace);
+}
+
+#[test]
+fn a_report_whose_answer_is_never_taken_stands_and_is_not_sent_again() {
+    let primary = server("read-write", rows("done"));
+    let gateway = gateway(&[(&primary, "read-write")], (32, 256), &[]);
+    let mut stream = TcpStream::connect(&gateway.address).unwrap();
+    stream.write_all(leverpoint_stands::wire::STARTUP).unwrap();
+    let mut admitted = [0; 64];
+    assert!(stream.read(&mut admitted).unwrap() > 0);
+    stream.write_all(&query(&insert("report"))).unwrap();
+    // Heard once; then its client goes without having read a byte of the answer.
+    heard(&primary);
+    while counted(&gateway.counters(), "answered") < 1 {}
+    drop(stream);
+    assert_eq!(gateway.client().ask(&insert("report")), "T D done C Z");
+    heard(&primary);
+    assert!(primary.heard.try_recv().is_err());
+    assert_eq!(gateway.end(&["dispatched", "answered"]), "dispatched=2 answered=2 ");
+}
+
+#[test]
+fn log_lines_are_json_where_they_are_asked_for() {
+    let primary = server("read-write", rows("x"));
+    let gateway = gateway(&[(&primary, "read-write")], (32, 256), &["--log", "json"]);
+    gateway.signal("-USR1");
+    let line = gateway.logged("\"counters\"");
+    let value: serde_json::Value = serde_json::from_str(&line).unwrap();
+    assert_eq!(value["msg"], "counters");
+    assert!(value["all"].as_str().unwrap().contains("answered=0"), "{line}");
+}
--- a/pace/src/peers.rs
+++ b/pace/src/peers.rs
@@ -52,6 +52,8 @@
     shares: [Share; 2],
     /// Bytes taken well since it has last proved itself or has been slow.
     credit: usize,
+    /// Whether what goes out to it has a row in it.
+    row: bool,
     /// What its own answers have wanted, once it has had one.
     wants: Option<usize>,
     /// Until then it is owed a final answer whole.
@@ -198,6 +200,7 @@
         if let Some(group) = group {
             self.sizes.saw(&mut peer.wants, group, bytes);
         }
+        peer.row = group.is_some() || (peer.row && peer.out.waiting() > 0);
         peer.out.add(now, bytes);
         peer.owed_till = ends;
     }
@@ -215,12 +218,11 @@
         }
         peer.out.left(now, bytes);
         let short = peer.out.waiting() <= self.caps.small;
-        let input = table::read(&peer.out, now, &self.caps, peer.credit, short);
-        let well = bytes == 0 && table::taken_well(&peer.out, now, &self.caps);
+        // Errors prove nothing: whoever is sent back again and again would be proven by it.
+        let worth = if peer.row { peer.out.taken().max(self.caps.proof.div_ceil(SHORT_PROOFS)) } else { 0 };
+        let input = table::read(&peer.out, now, &self.caps, peer.credit + worth, short);
         peer.credit = match input {
-            Input::Little if well => {
-                peer.credit + peer.out.taken().max(self.caps.proof.div_ceil(SHORT_PROOFS))
-            }
+            Input::Little if table::taken_well(&peer.out, now, &self.caps) => peer.credit + worth,
             Input::Early | Input::Keeps | Input::Little => peer.credit,
             Input::Much | Input::Near | Input::Below | Input::Still => 0,
         };
@@ -340,6 +342,10 @@
         &self.waiting
     }
 
+    pub fn untaken(&self, id: usize) -> usize {
+        self.peers[id].out.waiting()
+    }
+
     pub fn state(&self, id: usize) -> State {
         self.peers[id].state
     }
--- a/pace/src/table.rs
+++ b/pace/src/table.rs
@@ -111,16 +111,12 @@
     meter.mean(now) >= 2 * caps.least_rate || meter.age(now) < caps.grace
 }
 
-/// What a meter says, by these caps; `credit` are bytes taken well before. What is known to be short is given twice the grace: a lost packet costs it
+/// What a meter says, by these caps; `credit` is what has been taken well so far. What is known to be short is given twice the grace: a lost packet costs it
 /// as much as a long one.
 pub fn read(meter: &Meter, now: Tenths, caps: &Caps, credit: usize, short: bool) -> Input {
     let rate = meter.rate(now);
     if meter.waiting() == 0 {
-        return if credit + meter.taken() >= caps.proof && taken_well(meter, now, caps) {
-            Much
-        } else {
-            Little
-        };
+        return if credit >= caps.proof && taken_well(meter, now, caps) { Much } else { Little };
     }
     let grace = if short { 2 * caps.grace } else { caps.grace };
     if meter.age(now) < grace {
--- a/pace/tests/pace.rs
+++ b/pace/tests/pace.rs
@@ -24,7 +24,7 @@
 fn reads(peers: &mut Peers, id: usize, from: Tenths, bytes: usize, rate: impl Fn(Tenths) -> usize) -> String {
     let mut out = String::new();
     let ends = from + 20_000;
-    peers.answers(from, id, None, bytes, ends);
+    peers.answers(from, id, Some(0), bytes, ends);
     let (mut left, mut state) = (bytes as f64, peers.state(id));
     for tick in 1..3_000 {
         let now = from + tick * 1_000;
@@ -62,6 +62,20 @@
     insta::assert_snapshot!(out);
 }
 
+#[test]
+fn one_just_above_the_least_rate_stays_for_minutes_and_holds_what_it_may() {
+    let mut peers = peers();
+    let id = peers.enter();
+    let mut now = 0;
+    for _ in 0..12 {
+        let course = reads(&mut peers, id, now, 136 * KIB, |_| 9 * KIB);
+        assert!(!course.contains("LetGo") && course.contains("ended after"), "{course}");
+        now += 200_000;
+        assert_eq!(peers.state(id), State::Slow);
+    }
+    assert_eq!(peers.totals().0, 0);
+}
+
 #[test]
 fn a_slow_one_proves_itself_twice_before_it_counts_as_usual() {
     let mut peers = peers();
@@ -180,6 +194,23 @@
     insta::assert_snapshot!(format!("admitted {admitted}, sent back {}", come_back.len()));
 }
 
+#[test]
+fn being_sent_back_proves_nothing_and_sixteen_short_answers_do() {
+    let mut peers = peers();
+    let id = peers.enter();
+    for n in 0..100 {
+        peers.answers(n * 100, id, None, 80, n * 100 + 20_000);
+        peers.took(n * 100 + 1, id);
+    }
+    assert_eq!(peers.state(id), State::New);
+    let short = (0..40).find(|n| {
+        peers.answers(20_000 + n * 100, id, Some(0), 80, 50_000);
+        peers.took(20_001 + n * 100, id);
+        peers.state(id) == State::Usual
+    });
+    assert_eq!(short, Some(15));
+}
+
 #[test]
 fn one_customers_phones_leave_room_to_anothers() {
     let mut peers = peers();
--- a/stands/src/gateway.rs
+++ b/stands/src/gateway.rs
@@ -87,7 +87,7 @@
     let stderr = BufReader::new(child.stderr.take().unwrap());
     thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
     let gateway = Gateway { child, file, address, log, agent };
-    gateway.logged("event=\"serving\"");
+    gateway.logged("\"serving\"");
     gateway
 }
 
