--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -251,7 +251,7 @@
                     self.link.read().await?;
                     continue;
                 }
-                Err(()) => {
+                Err(message::Misframed) => {
                     self.part("08P01", "a startup packet of impossible length").await?;
                     return Ok(false);
                 }
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -16,6 +16,10 @@
 pub const GSSENC: i32 = 80_877_104;
 pub const CANCEL: i32 = 80_877_102;
 
+/// A length that can't be: framing is lost.
+#[derive(Debug, PartialEq)]
+pub struct Misframed;
+
 #[derive(Debug, PartialEq)]
 pub enum Read {
     /// More bytes are needed for the message: so many in all, 0 while its length is not known.
@@ -47,12 +51,12 @@
 }
 
 /// The first packet of a connection: its code and what follows; it carries no type.
-pub fn startup(ring: &mut Ring) -> Result<Option<(i32, Vec<u8>)>, ()> {
+pub fn startup(ring: &mut Ring) -> Result<Option<(i32, Vec<u8>)>, Misframed> {
     let Some(head) = ring.peek::<8>(0) else { return Ok(None) };
     let number = |at: usize| i32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
-    let whole = usize::try_from(number(0)).map_err(|_| ())?;
+    let whole = usize::try_from(number(0)).map_err(|_| Misframed)?;
     if !(8..=LONGEST_STARTUP).contains(&whole) {
-        return Err(());
+        return Err(Misframed);
     }
     if ring.len() < whole {
         return Ok(None);
--- a/stands/src/crowd.rs
+++ b/stands/src/crowd.rs
@@ -183,9 +183,8 @@
             add(&self.seen.asked);
             let sent = Instant::now();
             let mut heard = Vec::new();
-            let told;
-            match self.hear(stream, &mut heard) {
-                Ok(()) => told = self.judge(&id, &heard),
+            let told = match self.hear(stream, &mut heard) {
+                Ok(()) => self.judge(&id, &heard),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => return Err(e),
                 Err(e) => {
                     let seen = &self.seen;
@@ -201,7 +200,7 @@
                     });
                     return Err(e);
                 }
-            }
+            };
             // One that is sent back comes when it was told to, else a moment later.
             let until = Instant::now() + told.max(COMES_BACK);
             while Instant::now() < until {
