--- a/emulator/src/set.rs
+++ b/emulator/src/set.rs
@@ -3,7 +3,7 @@
 //!
 //! It must never let an effect happen twice inside a key's window, or answer from a machine that is down.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::Tenths;
 
@@ -25,6 +25,8 @@
     /// Work beyond this multiple of its part for so long pushes it over.
     pub fall_multiple: f64,
     pub fall_time: Tenths,
+    /// What a usual command's work takes.
+    pub usual_work: Tenths,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,8 +47,8 @@
     queued: usize,
     /// Applies nothing newer while held up.
     held_at: Option<Tenths>,
-    /// When more than its part first came while cold.
-    over_since: Option<Tenths>,
+    /// What came while it was cold, as far as it counts.
+    recent: VecDeque<Tenths>,
     pub fallen: bool,
 }
 
@@ -89,7 +91,7 @@
             busy: 0,
             queued: 0,
             held_at: None,
-            over_since: None,
+            recent: VecDeque::new(),
             fallen: false,
         };
         Set {
@@ -126,25 +128,34 @@
     }
 
     fn slots(&self, now: Tenths, machine: usize) -> usize {
-        let part = if self.cold(now, machine) { self.build.cold_share } else { 1.0 };
-        ((self.build.slots as f64 * part) as usize).max(1)
+        ((self.build.slots as f64 * self.part(now, machine)) as usize).max(1)
+    }
+
+    /// The part of its work that a machine can do: from the cold share at its start up to all of it.
+    fn part(&self, now: Tenths, machine: usize) -> f64 {
+        if !self.cold(now, machine) {
+            return 1.0;
+        }
+        let age = (now - self.machines[machine].started) as f64;
+        self.build.cold_share + (1.0 - self.build.cold_share) * age / self.build.cold_time as f64
     }
 
     /// A statement has come whole: whether it is worked on now (true), waits for a slot, or is turned away.
     pub fn arrives(&mut self, now: Tenths, machine: usize) -> Result<bool, Reply> {
         let slots = self.slots(now, machine);
-        let cold = self.cold(now, machine);
+        let (cold, part) = (self.cold(now, machine), self.part(now, machine));
         let build = self.build;
         let m = &mut self.machines[machine];
-        let out = m.busy + m.queued + 1;
-        if cold && out as f64 > build.fall_multiple * slots as f64 {
-            let since = *m.over_since.get_or_insert(now);
-            if now - since >= build.fall_time {
+        if cold {
+            m.recent.push_back(now);
+            while m.recent.front().is_some_and(|at| now - *at > build.fall_time) {
+                m.recent.pop_front();
+            }
+            let work = (m.recent.len() as Tenths * build.usual_work) as f64;
+            if work > build.fall_multiple * part * build.slots as f64 * build.fall_time as f64 {
                 m.fallen = true;
                 m.health = Health::Down;
             }
-        } else {
-            m.over_since = None;
         }
         if m.draining || (m.busy >= slots && m.queued >= build.queue) {
             return Err(Reply::Full);
@@ -210,7 +221,8 @@
         let m = &mut self.machines[machine];
         m.health = health;
         if health == Health::Up && was_down {
-            (m.started, m.busy, m.queued, m.held_at, m.over_since) = (now, 0, 0, None, None);
+            (m.started, m.busy, m.queued, m.held_at) = (now, 0, 0, None);
+            m.recent.clear();
         }
         if health != Health::Up && self.primary == Some(machine) {
             (self.primary, self.lost_at) = (None, Some(now));
@@ -220,7 +232,7 @@
     /// Its process starts again and forgets what it was working on; the machine stays what it is.
     pub fn restart(&mut self, machine: usize) {
         let m = &mut self.machines[machine];
-        (m.busy, m.queued, m.over_since) = (0, 0, None);
+        (m.busy, m.queued) = (0, 0);
     }
 
     pub fn drain(&mut self, machine: usize, draining: bool) {
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -315,7 +315,7 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
-        if !self.done && !plant("hang-up-overlooked") {
+        if !self.done {
             self.exchange.take(Event::HungUp(self.cmd));
         }
     }
@@ -670,7 +670,9 @@
 
     fn recycle(&self, cmd: usize) {
         let mut inner = self.inner.borrow_mut();
-        let done = inner.commands[cmd].as_ref().is_some_and(|r| r.held.done());
+        let done = inner.commands[cmd]
+            .as_ref()
+            .is_some_and(|r| r.held.done() || plant("index-early") && r.held.over);
         let Some(running) = inner.commands[cmd].take_if(|_| done) else { return };
         inner.free.push(cmd);
         inner.open.remove(&running.id);
--- a/gateway/src/servers.rs
+++ b/gateway/src/servers.rs
@@ -147,6 +147,12 @@
             }
             _ = order.called_off.notified() => Err(order.fault(Cause::CalledOff)),
         };
+        let ended = match ended {
+            Err(Fault { reached: Reached::Written, cause: Cause::Broken }) if plant("sent-again") => {
+                self.attempt(&order).await
+            }
+            ended => ended,
+        };
         match ended {
             Ok(ended) => order.end(ended.ending, Some(ended.said)),
             // The row was whole and is with the client; only the rest is missing.
@@ -196,7 +202,7 @@
                     return Err(order.fault(Cause::Garbled));
                 }
                 Ok(()) => return Ok(connection),
-                Err(_) if reused && (wrote.get() == 0 || plant("sent-again")) => {}
+                Err(_) if reused && wrote.get() == 0 => {}
                 Err(_) => return Err(order.fault(Cause::Broken)),
             }
         }
--- a/sim/scenarios/partition.hcl
+++ b/sim/scenarios/partition.hcl
@@ -9,5 +9,6 @@
   machines_silent = 0.8
   agents_silent   = 0.9
   clocks_step     = 0.5
+  for_good        = 0.5
   lasts           = [0.5, 3]
 }
--- a/sim/src/plants.rs
+++ b/sim/src/plants.rs
@@ -16,14 +16,14 @@
     ("wait-without-end", "round-close"),
     ("dispatch-without-end", "partition"),
     ("claim-kept", "calm"),
-    ("hang-up-overlooked", "slow-peers"),
+    ("index-early", "slow-peers"),
     ("reset-never-ran", "garbage"),
-    ("time-out-never-ran", "partition"),
+    ("time-out-never-ran", "cold-start"),
     ("sent-again", "garbage"),
     ("unchecked", "garbage"),
     ("drain-overlooked", "rolling-deploy"),
     ("token-forgotten", "lists-lie"),
-    ("cold-flooded", "failover"),
+    ("cold-flooded", "cold-start"),
 ];
 
 /// How many seeds from 0 on it takes, and what they find.
--- a/sim/tests/seeds.rs
+++ b/sim/tests/seeds.rs
@@ -127,6 +127,7 @@
         cold_time: 2_000,
         fall_multiple: 2.0,
         fall_time: 300,
+        usual_work: 200,
     };
     let mut set = Set::new(build, 3);
     let keyed = Ask { write: true, key: Some("k"), owed: None };
@@ -147,6 +148,8 @@
     set.set_health(3_000, 0, Health::Up);
     out.push(format!("{:?}", (0..4).map(|_| set.arrives(3_001, 0)).collect::<Vec<_>>()));
     out.push(format!("{:?} fallen {}", set.arrives(3_400, 0), set.machines[0].fallen));
+    (0..8).for_each(|_| drop(set.arrives(3_410, 0)));
+    assert!(set.machines[0].fallen);
     insta::assert_snapshot!(out.join("\n"));
 }
 
