--- a/rig/src/slow.rs
+++ b/rig/src/slow.rs
@@ -180,7 +180,7 @@
         drop((readers, writers));
         stage.members.iter().for_each(|member| member.set_pace(Pace::Whole));
         eprintln!("pair {} of {}: slow period played", pair + 1, asked.pairs);
-        (_, lines) = play(lines, SETTLES);
+        (_, lines) = play(lines, if asked.short { SETTLES / 2 } else { SETTLES });
     }
     drop(lines);
     let rss = peak_rss_mb(stage.gateway.child.id());
