Read once more: twins folded in pace, the rig and the tests; unused parts go

Cause: pace moved a peer's shares in two places, three places read name=count lines in the same way, a flag and a count were never read, and the caps were copied for every answer though only slow ones need them.

Change: one Peers::moves, one stands::gateway::counted; `live` and `held_in` go. Behaviour stays as it is.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -342,7 +342,6 @@
     /// Writes; it ends early where the peer is let go. Rooms are held until all has been taken.
     async fn write_owed(&mut self, bytes: &[u8], owed: Owed) -> io::Result<()> {
         let peer = &self.peer;
-        let caps = peer.caps();
         peer.answers(owed.group, bytes.len(), owed.until);
         let parts = [bytes];
         let mut writing = pin!(self.link.write(&parts, &peer.wrote));
@@ -353,6 +352,7 @@
         };
         if lingers {
             peer.lingers();
+            let caps = peer.caps();
             // Whoever keeps the least rate is done by then.
             let longest = span((message::LONGEST as u64 * 10_000 / caps.least_rate.max(1)) as Tenths);
             let by = self.patience + if caps.on { longest } else { Duration::ZERO };
--- a/gateway/tests/slow.rs
+++ b/gateway/tests/slow.rs
@@ -52,8 +52,8 @@
 }
 
 fn counted(line: &str, name: &str) -> u64 {
-    let value = line.split([' ', '"']).find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
-    value.and_then(|v| v.parse().ok()).unwrap_or_else(|| panic!("{name} in {line}"))
+    let count = stands::counted(line, name).and_then(|count| count.parse().ok());
+    count.unwrap_or_else(|| panic!("{name} in {line}"))
 }
 
 /// A crowd of so many that never read, beside an honest client that is there before and one that comes later.
--- a/pace/src/peers.rs
+++ b/pace/src/peers.rs
@@ -43,7 +43,6 @@
 
 #[derive(Clone, Debug, Default)]
 struct Peer {
-    live: bool,
     state: State,
     customer: usize,
     /// The command group of its last command.
@@ -113,7 +112,6 @@
         if id == self.peers.len() {
             self.peers.push(Peer::default());
         }
-        self.peers[id].live = true;
         self.counts[State::New as usize] += 1;
         id
     }
@@ -135,20 +133,9 @@
 
     /// Whether a command of it is taken. Where it is, what its answer will likely want is promised.
     pub fn admit(&mut self, now: Tenths, id: usize, group: usize, customer: usize, ends: Tenths) -> Verdict {
+        self.moves(id, self.peers[id].state, customer);
         let peer = &mut self.peers[id];
         let pool = &mut self.pools[Kind::Answer as usize];
-        if peer.customer != customer {
-            pool.moves(
-                (peer.state, peer.customer),
-                (peer.state, customer),
-                &peer.shares[Kind::Answer as usize],
-            );
-            let statements = &mut self.pools[Kind::Statement as usize];
-            let share = &peer.shares[Kind::Statement as usize];
-            statements.moves((peer.state, peer.customer), (peer.state, customer), share);
-            peer.customer = customer;
-        }
-        let pool = &mut self.pools[Kind::Answer as usize];
         let share = &mut peer.shares[Kind::Answer as usize];
         // By its own answers where it has had any: one that asks for little is not taken for one of a crowd.
         let likely = self.sizes.likely(peer.wants, group);
@@ -286,22 +273,29 @@
         if !self.caps.on {
             return Effect::Keep;
         }
-        let peer = &mut self.peers[id];
-        let (next, effect) = table::step(peer.state, input, owed);
-        let old = std::mem::replace(&mut peer.state, next);
-        if old != next {
-            self.counts[old as usize] -= 1;
-            self.counts[next as usize] += 1;
-            for (pool, share) in self.pools.iter_mut().zip(&peer.shares) {
-                pool.moves((old, peer.customer), (next, peer.customer), share);
-            }
-        }
+        let (next, effect) = table::step(self.peers[id].state, input, owed);
+        self.moves(id, next, self.peers[id].customer);
         if effect == Effect::LetGo {
             self.let_go += 1;
         }
         effect
     }
 
+    /// It is in that state, and that customer's, from now on; what is held for it moves along.
+    fn moves(&mut self, id: usize, state: State, customer: usize) {
+        let peer = &mut self.peers[id];
+        let (old, new) = ((peer.state, peer.customer), (state, customer));
+        if old == new {
+            return;
+        }
+        self.counts[old.0 as usize] -= 1;
+        self.counts[state as usize] += 1;
+        for (pool, share) in self.pools.iter_mut().zip(&peer.shares) {
+            pool.moves(old, new, share);
+        }
+        (peer.state, peer.customer) = new;
+    }
+
     /// Its place among those who go first, by what is owed to it.
     fn rank(&mut self, now: Tenths, id: usize) {
         let peer = &self.peers[id];
--- a/pace/src/pool.rs
+++ b/pace/src/pool.rs
@@ -113,10 +113,6 @@
         self.held.iter().sum()
     }
 
-    pub fn held_in(&self, state: State) -> usize {
-        self.held[state as usize]
-    }
-
     pub fn promised(&self) -> usize {
         self.promised.iter().sum()
     }
--- a/rig/src/slow.rs
+++ b/rig/src/slow.rs
@@ -138,8 +138,7 @@
 }
 
 fn counted(line: &str, name: &str) -> u64 {
-    let value = line.split([' ', '"']).find_map(|word| word.strip_prefix(name)?.strip_prefix('='));
-    value.and_then(|v| v.parse().ok()).unwrap_or(0)
+    gateway::counted(line, name).and_then(|count| count.parse().ok()).unwrap_or(0)
 }
 
 pub fn run(asked: &Asked) -> Result<Figures, String> {
--- a/stands/src/gateway.rs
+++ b/stands/src/gateway.rs
@@ -94,6 +94,11 @@
     gateway
 }
 
+/// What a line of name=count says of a name.
+pub fn counted<'a>(line: &'a str, name: &str) -> Option<&'a str> {
+    line.split([' ', '"']).find_map(|word| word.strip_prefix(name)?.strip_prefix('='))
+}
+
 impl Gateway {
     pub fn logged(&self, what: &str) -> String {
         loop {
@@ -119,11 +124,7 @@
         self.signal("-TERM");
         let line = self.logged("event=\"counters\"");
         assert!(self.child.wait().unwrap().success());
-        let counted = |name: &&str| {
-            let value = line.split([' ', '"']).find_map(|w| w.strip_prefix(*name)?.strip_prefix('='));
-            format!("{name}={} ", value.unwrap_or("?"))
-        };
-        names.iter().map(counted).collect()
+        names.iter().map(|name| format!("{name}={} ", counted(&line, name).unwrap_or("?"))).collect()
     }
 
     /// Ends it in order and returns what it says of its peers.
