A set whose primary returns is asked on; signals, other discoveries and crowds are played

All that waited had used up half of its dispatches on the silent one and two replicas, so nobody asked again until new commands came, 1.2 s later.

--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -125,7 +125,13 @@
     /// Another reading of the configuration: discovery's address holds at once, all else needs a restart, and a
     /// faulty file changes nothing.
     pub fn reread(&self) {
-        match node::again(&self.node.file, |name| std::env::var(name).ok()) {
+        self.again(node::again(&self.node.file, |name| std::env::var(name).ok()));
+        self.reread_operator();
+    }
+
+    /// The configuration as it reads now.
+    pub fn again(&self, again: Result<Node, Fault>) {
+        match again {
             Ok(again) => {
                 let mut waiting = self.node.changed(&again);
                 waiting.retain(|key| key != "discovery");
@@ -135,7 +141,6 @@
             }
             Err(fault) => slog::error!(self.log, "configuration not taken"; "why" => fault.to_string()),
         }
-        self.reread_operator();
     }
 
     /// Another reading of the operator's file: all of it holds at once but the size of the kernel's buffers, and
--- a/rig/src/slow.rs
+++ b/rig/src/slow.rs
@@ -12,7 +12,7 @@
 use leverpoint_stands::agent::agent;
 use leverpoint_stands::crowd::{Asks, Crowd, Habit, Seen};
 use leverpoint_stands::gateway::{self, Gateway};
-use leverpoint_stands::member::{Member, Set};
+use leverpoint_stands::member::{Member, PLAIN, Set};
 use leverpoint_stands::pace::Pace;
 use leverpoint_stands::wire::{http, list, target};
 use serde::Serialize;
@@ -98,8 +98,9 @@
     if !program.is_file() {
         return Err(format!("no gateway at {}: build it, or name it with --program", program.display()));
     }
-    let set = Arc::new(Set::default());
-    let members: Vec<_> = (0..3 + asked.tricklers).map(|n| Member::start(&set, n == 0, WORK)).collect();
+    let many = 3 + asked.tricklers;
+    let set = Set::new(PLAIN, many);
+    let members: Vec<_> = (0..many).map(|n| Member::start(&set, n, WORK)).collect();
     let targets: Vec<_> = members
         .iter()
         .enumerate()
--- a/sim/src/lib.rs
+++ b/sim/src/lib.rs
@@ -4,6 +4,7 @@
 //! One seed always gives the same trace, to the byte.
 
 pub mod checker;
+pub mod compare;
 #[cfg(feature = "plants")]
 pub mod plants;
 pub mod play;
--- a/sim/src/main.rs
+++ b/sim/src/main.rs
@@ -6,11 +6,12 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 
-use bpaf::{OptionParser, Parser, construct, long, pure};
+use bpaf::{OptionParser, Parser, construct, long, positional, pure};
 use leverpoint_ground::Instant;
 use leverpoint_sim::play::{Played, play};
 use leverpoint_sim::script::{self, Scenario};
-use leverpoint_sim::shrink;
+use leverpoint_sim::world::{Collisions, MEANINGS, Meaning};
+use leverpoint_sim::{compare, shrink};
 use serde::Serialize;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -20,6 +21,11 @@
         scenario: String,
         seeds: (u64, u64),
         jobs: usize,
+        each: Option<String>,
+    },
+    Compare {
+        before: String,
+        after: String,
     },
     Replay {
         scenario: String,
@@ -67,7 +73,11 @@
     let jobs = long("jobs").help("Threads").argument::<usize>("N").fallback(4);
     let run = {
         let scenario = scenario();
-        construct!(Asked::Run { scenario, seeds, jobs }).to_options().descr("Plays seeds, every rule checked")
+        let each = long("each").help("Writes seed, benefit and commands of each there").argument("FILE");
+        let each = each.optional();
+        construct!(Asked::Run { scenario, seeds, jobs, each })
+            .to_options()
+            .descr("Plays seeds, every rule checked")
     };
     let replay = {
         let (scenario, seed) = (scenario(), seed());
@@ -82,6 +92,14 @@
         let whole = construct!(Asked::Shrink { scenario, seed });
         whole.to_options().descr("Drops faults and commands while the same rule still breaks")
     };
+    let compare = {
+        let before = positional::<String>("BEFORE");
+        let after = positional::<String>("AFTER");
+        construct!(Asked::Compare { before, after })
+            .to_options()
+            .descr("Two files of `run --each`, seed by seed: the mean difference and its spread")
+    };
+    let compare = compare.command("compare");
     let list = pure(Asked::List).to_options().descr("Lists the scenarios");
     let (run, replay) = (run.command("run"), replay.command("replay"));
     let (shrink, list) = (shrink.command("shrink"), list.command("list"));
@@ -91,17 +109,31 @@
         let plants = construct!(Asked::Plants { seeds }).to_options();
         let plants = plants.descr("Turns on each deliberate fault and counts the seeds that find it");
         let plants = plants.command("plants");
-        construct!([run, replay, shrink, plants, list])
+        construct!([run, replay, shrink, compare, plants, list])
             .to_options()
             .descr("leverpoint's network code on virtual time")
     }
     #[cfg(not(feature = "plants"))]
-    construct!([run, replay, shrink, list]).to_options().descr("leverpoint's network code on virtual time")
+    construct!([run, replay, shrink, compare, list])
+        .to_options()
+        .descr("leverpoint's network code on virtual time")
 }
 
 fn main() -> ExitCode {
     match words().run() {
-        Asked::Run { scenario, seeds, jobs } => with(&scenario, |s| run(&scenario, s, seeds, jobs.max(1))),
+        Asked::Run { scenario, seeds, jobs, each } => {
+            with(&scenario, |s| run(&scenario, s, seeds, jobs.max(1), each.as_deref()))
+        }
+        Asked::Compare { before, after } => match compare::files(&before, &after) {
+            Ok(text) => {
+                println!("{text}");
+                ExitCode::SUCCESS
+            }
+            Err(why) => {
+                eprintln!("leverpoint-sim: {why}");
+                ExitCode::FAILURE
+            }
+        },
         Asked::Replay { scenario, seed, trace } => with(&scenario, |s| replay(s, seed, trace.as_deref())),
         Asked::Shrink { scenario, seed } => with(&scenario, |s| {
             print!("{}", shrink::shrink(s, seed, Instant::now()));
@@ -140,7 +172,13 @@
     }
 }
 
-fn run(name: &str, scenario: &Scenario, (first, last): (u64, u64), jobs: usize) -> ExitCode {
+fn run(
+    name: &str,
+    scenario: &Scenario,
+    (first, last): (u64, u64),
+    jobs: usize,
+    each: Option<&str>,
+) -> ExitCode {
     let (next, began) = (AtomicU64::new(first), Instant::now());
     let work = || {
         let mut mine = Vec::new();
@@ -169,13 +207,34 @@
     if let Some((seed, _)) = broken.first() {
         eprintln!("replay it: leverpoint-sim replay --scenario {name} --seed {seed}");
     }
+    if let Some(file) = each
+        && let Err(e) = std::fs::write(file, compare::text(&played))
+    {
+        eprintln!("leverpoint-sim: {file}: {e}");
+        return ExitCode::FAILURE;
+    }
+    let mut collisions = Collisions::default();
+    for (_, p) in &played {
+        let cells = p.collisions.iter().flatten().zip(collisions.iter_mut().flatten());
+        cells.for_each(|(one, all)| *all += one);
+    }
+    for (first, name) in MEANINGS {
+        let with = |(later, other): &(Meaning, &str)| {
+            let times = collisions[first as usize][*later as usize];
+            (times > 0).then(|| format!("{other} {times}"))
+        };
+        let met: Vec<_> = MEANINGS.iter().filter_map(with).collect();
+        if !met.is_empty() {
+            eprintln!("{name} on one instant before: {}", met.join(", "));
+        }
+    }
     let line = Line {
         scenario: name.to_owned(),
         seeds: played.len() as u64,
         broken: broken.len() as u64,
         steps: sum(&|p| p.steps as f64) as u64,
         commands: sum(&|p| p.commands as f64) as u64,
-        collisions: sum(&|p| p.collisions as f64) as u64,
+        collisions: collisions.iter().flatten().sum(),
         benefit: sum(&|p| p.benefit) / sum(&|p| p.asked).max(1.0),
         seconds: began.elapsed().as_secs_f64(),
         digest: format!("{:016x}", digest.digest()),
--- a/sim/src/play.rs
+++ b/sim/src/play.rs
@@ -17,7 +17,7 @@
 use leverpoint_ground::{Instant, Listener, Stream, now, set_world, sleep, sleep_until, timeout_at};
 use leverpoint_stands::client::judged;
 use leverpoint_stands::crowd::Judged;
-use leverpoint_stands::member::named;
+use leverpoint_stands::member::{named, refusal};
 use leverpoint_stands::values::{length_of, made};
 use leverpoint_stands::wire::{READ, STARTUP, WRITTEN, put, query, row_of};
 use tokio::sync::Notify;
@@ -25,7 +25,7 @@
 use crate::checker::{Broken, Checker, Effects, Final, Outcome};
 use crate::script::{Ask, Fault, Group, Scenario, Script};
 use crate::talk::Talk;
-use crate::world::{Process, Sim, UNIX};
+use crate::world::{Collisions, Meaning, Process, Role, Sim, UNIX};
 
 /// A keyed repeat is dropped for so long.
 const WINDOW: Tenths = 20_000;
@@ -96,7 +96,7 @@
     pub broken: Option<Broken>,
     pub steps: u64,
     pub commands: u64,
-    pub collisions: u64,
+    pub collisions: Collisions,
     pub benefit: f64,
     pub asked: f64,
     pub digest: u64,
@@ -110,6 +110,8 @@
     published: Notify,
     spoils: RefCell<Vec<bool>>,
     agent_silent: RefCell<Vec<bool>>,
+    /// Whose configuration names the agent's second address.
+    agent_moved: RefCell<Vec<bool>>,
     /// Machines that have been primary, by when a gateway was last sure to hear that they are no longer.
     was_primary: RefCell<BTreeMap<usize, Tenths>>,
 }
@@ -131,6 +133,8 @@
 
 /// From the start of a machine's process until it serves.
 const STARTS: Duration = Duration::from_millis(300);
+/// An agent's address that is named no more closes what is open after so long.
+const CLOSES: Duration = Duration::from_millis(1_500);
 const CLIENTS: Process = 0;
 /// A run in which clients still ask after that has gone wrong.
 const LONGEST: Tenths = 600_000;
@@ -182,16 +186,14 @@
 
     fn start_gateway(self: &Rc<Self>, n: usize) {
         let process = self.gateway_process(n);
-        self.sim.begin(process);
+        self.sim.begin(process, Role::Gateway);
         self.lives.borrow_mut()[n] += 1;
         self.checker.borrow_mut().excuse(n, false);
         let door = self.sim.listen(process, address(0, n));
-        let text = self.config(n);
+        let node = self.node(n, self.place.agent_moved.borrow()[n]);
         let play = self.clone();
         let life = self.life(n);
         let task = async move {
-            let node =
-                node::from_text("sim", text.as_bytes(), |_, _| None).expect("a configuration of our own");
             let log = slog::Logger::root(slog::Discard, slog::o!());
             let gateway = Gateway::start(node, Operator::default(), Listener::World(door), log);
             play.gateways.borrow_mut()[n] = gateway.ok().map(Rc::new);
@@ -200,17 +202,23 @@
         self.sim.spawn_in(process, Box::pin(task));
     }
 
-    fn config(&self, n: usize) -> String {
+    fn node(&self, n: usize, moved: bool) -> node::Node {
+        node::from_text("sim", self.config(n, moved).as_bytes(), |_, _| None)
+            .expect("a configuration of our own")
+    }
+
+    fn config(&self, n: usize, moved: bool) -> String {
         let settings = SETTINGS
             .replace("GATEWAYS", &self.scenario.gateways.to_string())
             .replace("ME", &n.to_string())
             .replace("CHECK", if self.scenario.check == "none" { "none" } else { "reject" });
-        let (at, agent) = (address(0, n), address(2, n));
+        let (at, agent) = (address(0, n), address(if moved { 3 } else { 2 }, n));
+        let sockets = self.scenario.sockets;
         let known = self.list_text(None);
         let seed = self.seed.wrapping_mul(31).wrapping_add(n as u64 + 97 * self.life(n));
         format!(
             r#"{{"name":"g{n}","listen":"{at}","discovery":"{agent}","seed":"{seed:x}",
-            "limits":{{"memory_mb":64,"sockets":256}},"known":{known},"settings":{settings}}}"#
+            "limits":{{"memory_mb":64,"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
         )
     }
 
@@ -241,13 +249,28 @@
     }
 
     /// The agent on a gateway's own machine.
-    async fn agent(self: Rc<Self>, n: usize) {
-        let door = self.sim.listen(self.agent_process(n), address(2, n));
+    async fn agent(self: Rc<Self>, n: usize, second: bool) {
+        let door = self.sim.listen(self.agent_process(n), address(if second { 3 } else { 2 }, n));
         let listener = Listener::World(door);
         while let Ok(stream) = listener.accept().await {
+            let play = self.clone();
+            let serves = move || play.place.agent_moved.borrow()[n] == second;
+            // The address that a configuration no longer names accepts nothing, and soon closes what is open.
+            if !serves() {
+                continue;
+            }
             let play = self.clone();
             leverpoint_ground::spawn(async move {
-                let _ = play.agent_talks(n, Talk::new(stream)).await;
+                let closes = async {
+                    while serves() {
+                        sleep(Duration::from_millis(50)).await;
+                    }
+                    sleep(CLOSES).await;
+                };
+                tokio::select! {
+                    _ = play.agent_talks(n, Talk::new(stream)) => {}
+                    _ = closes => {}
+                }
             });
         }
     }
@@ -342,7 +365,7 @@
             let outcome = if never { Outcome::Never } else { Outcome::MayHave };
             self.checker.borrow_mut().came_to(self.now(), &id, n, outcome, effect);
             self.sim.note("machine", || format!("{n} answers {id}: {reply:?}"));
-            let mut out = Vec::new();
+            let mut out;
             let primary = self.place.sets.borrow()[set].is_primary(member);
             match reply {
                 Reply::Row if text.starts_with("INSERT") => out = row_of(&made(&id, 64), WRITTEN),
@@ -352,9 +375,7 @@
                     let key = text.split('\'').nth(1).unwrap_or_default();
                     out = row_of(&made(&id, length_of(key)), READ);
                 }
-                Reply::NotPrimary => put(&mut out, b'E', b"SERROR\0C25006\0Mno\0\0"),
-                Reply::Behind => put(&mut out, b'E', b"SERROR\0C72000\0Mno\0\0"),
-                Reply::Full => put(&mut out, b'E', b"SERROR\0C53300\0Mno\0\0"),
+                refused => out = refusal(refused),
             }
             if self.place.spoils.borrow()[n] && self.sim.chance.borrow_mut().u8(..2) == 0 {
                 // A flaw in the framing, as a value that is only another value can be told by nobody.
@@ -573,6 +594,11 @@
                     self.sim.spawn_in(process, Box::pin(async move { gateway.end().await }));
                 }
             }
+            Fault::GatewayRereads(n, second) => {
+                self.place.agent_moved.borrow_mut()[n] = second;
+                let gateway = self.gateways.borrow()[n].clone();
+                gateway.into_iter().for_each(|gateway| gateway.again(Ok(self.node(n, second))));
+            }
             Fault::Silent(m, silent) => {
                 self.health(m, if silent { Health::Silent } else { Health::Up });
                 self.sim.set_silent(self.machine_process(m), silent);
@@ -584,7 +610,7 @@
             Fault::MachineReturns(m) => {
                 // A machine is listed as it starts, and serves a moment later.
                 self.health(m, Health::Up);
-                self.sim.begin(self.machine_process(m));
+                self.sim.begin(self.machine_process(m), Role::Machine);
                 self.publish(now, m, Phase::Up);
                 let play = self.clone();
                 let starts = async move {
@@ -610,7 +636,7 @@
                     self.sim.kill(process);
                     let (set, member) = self.set_of(m);
                     self.place.sets.borrow_mut()[set].restart(member);
-                    self.sim.begin(process);
+                    self.sim.begin(process, Role::Machine);
                     self.sim.spawn_in(process, Box::pin(self.clone().machine(m)));
                 }
             }
@@ -631,6 +657,15 @@
         }
     }
 
+    /// Which gateway a fault meets as a signal.
+    fn meets(&self, fault: &Fault) -> Option<(Process, Meaning)> {
+        match fault {
+            Fault::GatewayStops(n) => Some((self.gateway_process(*n), Meaning::Stop)),
+            Fault::GatewayRereads(n, _) => Some((self.gateway_process(*n), Meaning::Reread)),
+            _ => None,
+        }
+    }
+
     fn kill_gateway(&self, n: usize) {
         self.checker.borrow_mut().excuse(n, true);
         self.sim.kill(self.gateway_process(n));
@@ -705,6 +740,7 @@
             published: Notify::new(),
             spoils: RefCell::new(vec![false; machines]),
             agent_silent: RefCell::new(vec![false; scenario.gateways]),
+            agent_moved: RefCell::new(vec![false; scenario.gateways]),
             was_primary: RefCell::default(),
         },
         gateways: RefCell::new(vec![None; scenario.gateways]),
@@ -720,14 +756,16 @@
         play.place.list.borrow_mut().change(0, machine, set, Phase::Up, primary, 0);
     }
     play.place.list.borrow_mut().publish(0);
-    sim.begin(CLIENTS);
+    sim.begin(CLIENTS, Role::Client);
     for n in 0..machines {
-        sim.begin(play.machine_process(n));
+        sim.begin(play.machine_process(n), Role::Machine);
         sim.spawn_in(play.machine_process(n), Box::pin(play.clone().machine(n)));
     }
     for n in 0..scenario.gateways {
-        sim.begin(play.agent_process(n));
-        sim.spawn_in(play.agent_process(n), Box::pin(play.clone().agent(n)));
+        sim.begin(play.agent_process(n), Role::Agent);
+        for second in [false, true] {
+            sim.spawn_in(play.agent_process(n), Box::pin(play.clone().agent(n, second)));
+        }
         play.start_gateway(n);
     }
     for (n, slow) in script.slow.iter().enumerate() {
@@ -735,7 +773,7 @@
         sim.spawn_in(CLIENTS, Box::pin(play.clone().client(n, asks, *slow)));
     }
     for (n, (at, _)) in script.faults.iter().enumerate() {
-        sim.fault_at(*at, n);
+        sim.fault_at(*at, n, play.meets(&script.faults[n].1));
     }
     // Clients ask one thing after the other, so the last may begin late; what is open then ends in order.
     let (mut end, mut looked) = (LONGEST, -1);
@@ -804,7 +842,7 @@
 
     fn come_to(&self) -> Played {
         let checker = self.checker.borrow();
-        let collisions = self.sim.collisions.borrow().iter().flatten().sum();
+        let collisions = *self.sim.collisions.borrow();
         Played {
             broken: checker.broken.clone(),
             steps: self.sim.steps.get(),
--- a/sim/src/script.rs
+++ b/sim/src/script.rs
@@ -22,10 +22,17 @@
     /// Whether members check how far they have applied: "refuse" or "none".
     #[serde(default = "refuse")]
     pub check: String,
+    /// A gateway's descriptors.
+    #[serde(default = "descriptors")]
+    pub sockets: usize,
     #[serde(default)]
     pub fails: Fails,
 }
 
+fn descriptors() -> usize {
+    256
+}
+
 fn refuse() -> String {
     "refuse".into()
 }
@@ -37,6 +44,8 @@
     /// Gateways that die and return; machines that go silent, die, drain, lag, spoil their answers.
     pub gateways_die: f64,
     pub gateways_stop: f64,
+    /// Gateways whose configuration is replaced, so that discovery is elsewhere, and that get SIGHUP.
+    pub gateways_reread: f64,
     pub machines_silent: f64,
     pub machines_die: f64,
     pub machines_drain: f64,
@@ -60,6 +69,8 @@
     GatewayReturns(usize),
     /// SIGTERM, then a new start.
     GatewayStops(usize),
+    /// SIGHUP; the configuration names the agent's second address, or the first again.
+    GatewayRereads(usize, bool),
     Silent(usize, bool),
     MachineDies(usize),
     MachineReturns(usize),
@@ -137,6 +148,7 @@
         plan(&mut chance, gateways, f.gateways_stop, &|g, on| {
             if on { Fault::GatewayStops(g) } else { Fault::GatewayReturns(g) }
         });
+        plan(&mut chance, gateways, f.gateways_reread, &Fault::GatewayRereads);
         plan(&mut chance, machines, f.machines_silent, &Fault::Silent);
         let for_good = f.for_good;
         plan(&mut chance, machines, f.machines_die, &|m, on| {
@@ -181,7 +193,7 @@
     }
 }
 
-const ALL: [(&str, &str); 9] = [
+const ALL: [(&str, &str); 11] = [
     ("round-close", include_str!("../scenarios/round-close.hcl")),
     ("calm", include_str!("../scenarios/calm.hcl")),
     ("failover", include_str!("../scenarios/failover.hcl")),
@@ -190,6 +202,8 @@
     ("lists-lie", include_str!("../scenarios/lists-lie.hcl")),
     ("slow-peers", include_str!("../scenarios/slow-peers.hcl")),
     ("garbage", include_str!("../scenarios/garbage.hcl")),
+    ("crowd", include_str!("../scenarios/crowd.hcl")),
+    ("reread", include_str!("../scenarios/reread.hcl")),
     ("cold-start", include_str!("../scenarios/cold-start.hcl")),
 ];
 
--- a/sim/src/world.rs
+++ b/sim/src/world.rs
@@ -27,26 +27,56 @@
 
 pub type Process = usize;
 
-/// What happens at an instant, as far as collisions are told apart.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Kind {
+/// What a process is to the gateways.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Role {
+    #[default]
+    Client,
+    Gateway,
+    Agent,
+    Machine,
+}
+
+/// What an instant brings to a gateway, as far as collisions are told apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Meaning {
     Timer,
-    Bytes,
-    End,
-    Connect,
-    Fault,
+    Command,
+    HangUp,
+    Accept,
+    Reply,
+    Break,
+    Connected,
+    List,
+    Stop,
+    Reread,
 }
 
-const KINDS: usize = 5;
+pub const MEANINGS: [(Meaning, &str); 10] = [
+    (Meaning::Timer, "timer"),
+    (Meaning::Command, "command"),
+    (Meaning::HangUp, "hang-up"),
+    (Meaning::Accept, "accept"),
+    (Meaning::Reply, "reply"),
+    (Meaning::Break, "break"),
+    (Meaning::Connected, "connected"),
+    (Meaning::List, "list"),
+    (Meaning::Stop, "stop"),
+    (Meaning::Reread, "reread"),
+];
+
+/// How often one fell on another's instant at the same gateway, by the one that the seed let go first.
+pub type Collisions = [[u64; MEANINGS.len()]; MEANINGS.len()];
 
 enum Due {
-    Wake(u64, Waker),
+    Wake(u64, Waker, Process),
     /// Bytes arrive at an end.
     Bytes(Rc<End>, Vec<u8>),
     Finish(Rc<End>),
     Reset(Rc<End>),
     Connect(Rc<RefCell<Knock>>),
-    Fault(usize),
+    /// Of the script; what it is to which gateway.
+    Fault(usize, Option<(Process, Meaning)>),
 }
 
 struct Flag {
@@ -85,6 +115,7 @@
     silent: bool,
     /// What its clock of the day is off.
     off: i64,
+    role: Role,
 }
 
 pub struct Sim {
@@ -95,7 +126,7 @@
     free: RefCell<Vec<usize>>,
     lives: RefCell<Vec<Life>>,
     current: Cell<Process>,
-    due: RefCell<BTreeMap<(Tenths, u64), (Kind, Due)>>,
+    due: RefCell<BTreeMap<(Tenths, u64), Due>>,
     next: Cell<u64>,
     timers: RefCell<BTreeMap<u64, (Tenths, u64)>>,
     listeners: RefCell<BTreeMap<SocketAddr, Rc<Door>>>,
@@ -103,8 +134,7 @@
     latency: (Tenths, Tenths),
     pub steps: Cell<u64>,
     pub panics: Cell<u64>,
-    /// How often two kinds fell on one instant, by the kind that the seed let go first.
-    pub collisions: RefCell<[[u64; KINDS]; KINDS]>,
+    pub collisions: RefCell<Collisions>,
     pub digest: RefCell<Xxh3>,
     trace: RefCell<Option<Vec<String>>>,
     ends: RefCell<Vec<Weak<End>>>,
@@ -164,15 +194,15 @@
         self.trace.borrow_mut().take().unwrap_or_default()
     }
 
-    fn put(&self, at: Tenths, kind: Kind, due: Due) -> (Tenths, u64) {
+    fn put(&self, at: Tenths, due: Due) -> (Tenths, u64) {
         let key = (at.max(self.time()), self.next.replace(self.next.get() + 1));
-        self.due.borrow_mut().insert(key, (kind, due));
+        self.due.borrow_mut().insert(key, due);
         key
     }
 
     /// A fault of the script falls due then.
-    pub fn fault_at(&self, at: Tenths, fault: usize) {
-        self.put(at, Kind::Fault, Due::Fault(fault));
+    pub fn fault_at(&self, at: Tenths, fault: usize, meets: Option<(Process, Meaning)>) {
+        self.put(at, Due::Fault(fault, meets));
     }
 
     /// Faults that have fallen due since the last step.
@@ -181,12 +211,12 @@
     }
 
     /// A process begins, or begins again under its old number.
-    pub fn begin(&self, process: Process) {
+    pub fn begin(&self, process: Process, role: Role) {
         let mut lives = self.lives.borrow_mut();
         if lives.len() <= process {
             lives.resize(process + 1, Life::default());
         }
-        lives[process].alive = true;
+        (lives[process].alive, lives[process].role) = (true, role);
     }
 
     pub fn set_clock_off(&self, process: Process, off: Tenths) {
@@ -321,28 +351,78 @@
                 batch.push(entry.remove());
             }
         }
+        batch.retain(|due| !self.clings(at, due));
         if batch.len() > 1 {
             // Bytes of one connection keep their order: they are due at one instant only by being one delivery.
             self.chance.borrow_mut().shuffle(&mut batch);
-            let mut seen = [false; KINDS];
+            let met: Vec<_> = batch.iter().filter_map(|due| self.met(due)).collect();
             let mut collisions = self.collisions.borrow_mut();
-            for (kind, _) in &batch {
-                if !seen[*kind as usize] {
-                    (0..KINDS).filter(|k| seen[*k]).for_each(|k| collisions[k][*kind as usize] += 1);
-                    seen[*kind as usize] = true;
-                }
+            for (later, (gateway, what)) in met.iter().enumerate() {
+                let before = met[..later].iter().filter(|(other, first)| other == gateway && first != what);
+                before.for_each(|(_, first)| collisions[*first as usize][*what as usize] += 1);
             }
         }
-        for (_, due) in batch {
+        for due in batch {
             self.happens(due);
             self.steps.set(self.steps.get() + 1);
         }
         true
     }
 
+    /// Which gateway hears of this, and as what.
+    fn met(&self, due: &Due) -> Option<(Process, Meaning)> {
+        let role = |process: Process| self.lives.borrow().get(process).map(|life| life.role);
+        let (gateway, what) = match due {
+            Due::Wake(_, _, process) => (*process, Meaning::Timer),
+            Due::Bytes(end, _) => {
+                let what = match role(end.toward)? {
+                    Role::Machine => Meaning::Reply,
+                    Role::Agent => Meaning::List,
+                    _ => Meaning::Command,
+                };
+                (end.process, what)
+            }
+            Due::Finish(end) | Due::Reset(end) => {
+                let what = match role(end.toward)? {
+                    Role::Client => Meaning::HangUp,
+                    _ => Meaning::Break,
+                };
+                (end.process, what)
+            }
+            Due::Connect(knock) => {
+                let (from, to) = (knock.borrow().from, knock.borrow().to);
+                let door = self.listeners.borrow().get(&to).map(|door| door.process);
+                match door {
+                    Some(door) if role(door) == Some(Role::Gateway) => (door, Meaning::Accept),
+                    _ => (from, Meaning::Connected),
+                }
+            }
+            Due::Fault(_, meets) => (*meets)?,
+        };
+        (role(gateway) == Some(Role::Gateway)).then_some((gateway, what))
+    }
+
+    /// What a signal meets is too rare by itself: every second one waits, for 100 ms at most, for the next that its
+    /// gateway accepts or is sent, and falls on the same instant.
+    fn clings(&self, at: Tenths, due: &Due) -> bool {
+        let Due::Fault(fault, Some(meets)) = due else { return false };
+        if self.chance.borrow_mut().bool() {
+            return false;
+        }
+        let next = {
+            let all = self.due.borrow();
+            let later = all.range((at + 1, 0)..(at + 1_000, 0));
+            let wanted = |what| matches!(what, Meaning::Accept | Meaning::Command | Meaning::List);
+            later.into_iter().find_map(|((then, _), other)| {
+                self.met(other).filter(|(gateway, what)| *gateway == meets.0 && wanted(*what)).map(|_| *then)
+            })
+        };
+        next.map(|then| self.put(then, Due::Fault(*fault, Some(*meets)))).is_some()
+    }
+
     fn happens(&self, due: Due) {
         match due {
-            Due::Wake(timer, waker) => {
+            Due::Wake(timer, waker, _) => {
                 self.timers.borrow_mut().remove(&timer);
                 waker.wake();
             }
@@ -350,7 +430,7 @@
             Due::Finish(end) => end.hear_end(),
             Due::Reset(end) => end.hear_reset(),
             Due::Connect(knock) => self.knocked(&knock),
-            Due::Fault(fault) => self.faults.borrow_mut().push(fault),
+            Due::Fault(fault, _) => self.faults.borrow_mut().push(fault),
         }
     }
 
@@ -378,15 +458,16 @@
     }
 
     fn pair(&self, one: Process, other: Process) -> (Rc<End>, Rc<End>) {
-        let end = |process| {
+        let end = |process, toward| {
             Rc::new(End {
                 sim: self.me.clone(),
                 process,
+                toward,
                 other: RefCell::new(Weak::new()),
                 inner: RefCell::default(),
             })
         };
-        let (near, far) = (end(one), end(other));
+        let (near, far) = (end(one, other), end(other, one));
         *near.other.borrow_mut() = Rc::downgrade(&far);
         *far.other.borrow_mut() = Rc::downgrade(&near);
         let mut ends = self.ends.borrow_mut();
@@ -410,7 +491,7 @@
 
     fn timer(&self, at: Instant, waker: &Waker) -> u64 {
         let timer = self.next.replace(self.next.get() + 1);
-        let key = self.put(self.tenths(at), Kind::Timer, Due::Wake(timer, waker.clone()));
+        let key = self.put(self.tenths(at), Due::Wake(timer, waker.clone(), self.current.get()));
         self.timers.borrow_mut().insert(timer, key);
         timer
     }
@@ -428,7 +509,7 @@
     fn connect(&self, to: SocketAddr) -> Connecting {
         let knock = Rc::new(RefCell::new(Knock { from: self.current.get(), to, outcome: None, waker: None }));
         let at = self.time() + self.takes() + self.takes();
-        self.put(at, Kind::Connect, Due::Connect(knock.clone()));
+        self.put(at, Due::Connect(knock.clone()));
         Box::pin(std::future::poll_fn(move |cx| {
             let mut knock = knock.borrow_mut();
             match knock.outcome.take() {
@@ -472,6 +553,8 @@
 pub struct End {
     sim: Weak<Sim>,
     process: Process,
+    /// Whose the other end is, or was.
+    toward: Process,
     other: RefCell<Weak<End>>,
     inner: RefCell<Inner>,
 }
@@ -542,7 +625,7 @@
     fn break_off(&self, sim: &Sim) {
         if let Some(other) = self.other() {
             let at = (sim.time() + sim.takes()).max(self.inner.borrow().last + 1);
-            sim.put(at, Kind::End, Due::Reset(other));
+            sim.put(at, Due::Reset(other));
         }
         self.hear_reset();
     }
@@ -617,7 +700,7 @@
         for piece in [Some(bytes), back].into_iter().flatten() {
             let at = (sim.time() + sim.takes()).max(inner.last + 1);
             inner.last = at;
-            sim.put(at, Kind::Bytes, Due::Bytes(other.clone(), piece));
+            sim.put(at, Due::Bytes(other.clone(), piece));
         }
         Ok(wrote)
     }
@@ -631,7 +714,7 @@
         if let Some(other) = self.other() {
             let at = (sim.time() + sim.takes()).max(inner.last + 1);
             inner.last = at;
-            sim.put(at, Kind::End, Due::Finish(other));
+            sim.put(at, Due::Finish(other));
         }
     }
 
@@ -657,7 +740,7 @@
         let due =
             if inner.discarded || !inner.unread.is_empty() { Due::Reset(other) } else { Due::Finish(other) };
         if !inner.finished || matches!(due, Due::Reset(_)) {
-            sim.put(at, Kind::End, due);
+            sim.put(at, due);
         }
     }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,7 +7,8 @@
 //! Mechanisms beside the design (at most six):
 //! 1. room: a command goes to a server only while an answer in time is likely there (`room`), to a primary as
 //!    overflow by chance (`overflow`), else it is held and served again by benefit (`serve`);
-//! 2. silence: quick time-outs (`patience`), bad servers (`suspect`), vain waits (`waited_enough`);
+//! 2. silence: quick time-outs (`patience`), bad servers (`suspect`), vain waits (`waited_enough`), asking on
+//!    (`primary`);
 //! 3. cold budget: a server that has just started gets its part of a warm server's work (`warm_enough`);
 //! 4. customers' shares: in a shortage, what is beyond a share goes last (`over_share`);
 //! 5. believed positions: a replica keeps its lag (`believed`); reads that owe nothing gather (`pick`);
@@ -864,7 +865,12 @@
             return (self.live(p).is_some() && self.room(cmd, p)).then_some(p);
         }
         let unchecked = self.groups[c.group].facts.need == Need::Fresh && self.facts.check == Check::None;
-        if unchecked || c.dispatches * 2 >= self.facts.allowed.dispatches {
+        // Once nobody of the set has been asked for half a second, one of those that wait asks on, but for its last
+        // dispatch. Guards sets whose primary returns while all that waits for it has used up its half.
+        let asked = |m: &usize| self.servers[*m].word_at.max(self.servers[*m].asked_at);
+        let still = set.members.iter().filter_map(asked).max().is_none_or(|at| self.now - at >= 500 * MS);
+        let used = c.dispatches * if still { 1 } else { 2 } + u32::from(still);
+        if unchecked || used >= self.facts.allowed.dispatches {
             return None;
         }
         // A member that said 'replica' is asked again after a third of a second: an election takes longer.
--- a/stands/src/member.rs
+++ b/stands/src/member.rs
@@ -1,7 +1,7 @@
-//! Owns a set of database servers that keeps to the rules of one: a primary and replicas, positions, keyed
-//! repeats that are dropped for a while, and a pace for each that can be changed while it serves.
+//! Owns a set of database servers on sockets: the emulator's model of one, with real time and connections before it,
+//! and for each server a pace and a health that can be changed while it serves.
 //!
-//! It must never answer a write from a replica, or run a keyed command twice inside its window.
+//! It must never decide what a set would: what a statement comes to is the model's word.
 
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
@@ -10,27 +10,44 @@
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
+use leverpoint_emulator::Tenths;
+use leverpoint_emulator::set::{Ask, Build, Health, Reply, Set as Model};
+
 use crate::pace::{Pace, write_paced};
 use crate::values::{length_of, made};
 use crate::wire::{READ, WRITTEN, message, put, row_of, unix_ms};
 
-/// Keyed repeats are dropped for so long.
-const WINDOW: Duration = Duration::from_secs(3);
+/// A set with no lag, no queue that binds and no cold start, whose keyed repeats are dropped for three seconds.
+pub const PLAIN: Build = Build {
+    slots: 1_000,
+    queue: 1_000,
+    lag: 0,
+    window: 30_000,
+    election: 8_000,
+    cold_share: 1.0,
+    cold_time: 0,
+    fall_multiple: 1e9,
+    fall_time: 10_000,
+    usual_work: 40,
+};
 
 /// What all members of a set share.
-#[derive(Default)]
 pub struct Set {
     state: Mutex<State>,
+    began: Instant,
+    began_ms: u128,
 }
 
-#[derive(Default)]
 struct State {
-    committed_ms: u128,
-    /// By key, when it ran.
-    keys: BTreeMap<String, Instant>,
-    /// How often each mutating command ran, by id or, for keyed ones, by key within its window.
+    model: Model,
+    /// By session: the position of its last write, as the members themselves know it.
+    wrote: BTreeMap<String, Tenths>,
+    /// Keys that ran, and how often one ran again.
+    keys: BTreeMap<String, Tenths>,
     twice: u64,
     runs: u64,
+    /// Rows of session reads from data before the session's last write.
+    missing: u64,
 }
 
 pub struct Member {
@@ -40,47 +57,121 @@
 }
 
 impl Set {
+    pub fn new(build: Build, machines: usize) -> Arc<Set> {
+        let state = State {
+            model: Model::new(build, machines),
+            wrote: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            twice: 0,
+            runs: 0,
+            missing: 0,
+        };
+        // The model begins an hour into its time, so that no lag reaches back before it.
+        let began = Instant::now() - Duration::from_secs(3_600);
+        Arc::new(Set { state: Mutex::new(state), began, began_ms: unix_ms() - 3_600_000 })
+    }
+
+    fn now(&self) -> Tenths {
+        (self.began.elapsed().as_micros() / 100) as Tenths
+    }
+
     /// Effects that happened twice, and all that happened.
     pub fn effects(&self) -> (u64, u64) {
         let state = self.state.lock().unwrap();
         (state.twice, state.runs)
     }
 
-    /// A write runs unless it repeats one.
-    fn write(&self, key: Option<&str>) -> u128 {
+    /// Rows of session reads that lacked the session's last write.
+    pub fn missing(&self) -> u64 {
+        self.state.lock().unwrap().missing
+    }
+
+    pub fn primary(&self) -> Option<usize> {
+        self.state.lock().unwrap().model.primary()
+    }
+
+    pub fn hand_over(&self, to: usize) {
+        self.state.lock().unwrap().model.hand_over(to);
+    }
+
+    /// A replica applies nothing more, or all of it again.
+    pub fn hold_up(&self, member: usize, held: bool) {
+        let now = self.now();
+        self.state.lock().unwrap().model.hold_up(now, member, held);
+    }
+
+    pub fn set_health(&self, member: usize, health: Health) {
+        let now = self.now();
+        self.state.lock().unwrap().model.set_health(now, member, health);
+    }
+
+    /// An election that is due is over; who was elected.
+    pub fn elect(&self) -> Option<usize> {
+        let now = self.now();
+        self.state.lock().unwrap().model.elect(now)
+    }
+
+    /// A slot for a statement that has come whole.
+    fn begins(&self, member: usize, patience: Duration) -> Result<(), Reply> {
+        if self.state.lock().unwrap().model.arrives(self.now(), member)? {
+            return Ok(());
+        }
+        let until = Instant::now() + patience;
+        while Instant::now() < until {
+            sleep(Duration::from_millis(1));
+            if self.state.lock().unwrap().model.turn(self.now(), member) {
+                return Ok(());
+            }
+        }
+        self.state.lock().unwrap().model.gives_up(member);
+        Err(Reply::Full)
+    }
+
+    /// The work on a statement is done: what it comes to, whether by the primary, and at which position.
+    fn works(&self, member: usize, text: &str) -> (Reply, bool, u128) {
+        let write = text.starts_with("INSERT");
+        let session = text.split('\'').nth(1).unwrap_or_default();
+        let key = named(text, "k");
+        let now = self.now();
         let mut state = self.state.lock().unwrap();
-        let now = Instant::now();
-        state.keys.retain(|_, at| now - *at < WINDOW * 4);
-        state.committed_ms = unix_ms().max(state.committed_ms + 1);
-        if let Some(key) = key {
-            match state.keys.get(key) {
-                Some(at) if now - *at < WINDOW => return state.committed_ms,
-                Some(_) => state.twice += 1,
-                None => {}
+        let primary = state.model.is_primary(member);
+        let (reply, at, effect) = state.model.works(now, member, &Ask { write, key, owed: None });
+        if effect {
+            state.runs += 1;
+            if let Some(key) = key
+                && state.keys.insert(key.to_owned(), now).is_some()
+            {
+                state.twice += 1;
             }
-            state.keys.insert(key.to_owned(), now);
+            state.wrote.insert(session.to_owned(), at);
+        }
+        let owes = named(text, "c") == Some("own");
+        if !write && owes && reply == Reply::Row && state.wrote.get(session).is_some_and(|wrote| at < *wrote)
+        {
+            state.missing += 1;
         }
-        state.runs += 1;
-        state.committed_ms
+        // A commit is told rounded up, as a position is the whole milliseconds that are surely applied.
+        let ms = if effect { (at as u128).div_ceil(10) } else { at as u128 / 10 };
+        (reply, primary, self.began_ms + ms)
     }
 }
 
 impl Member {
-    pub fn start(set: &Arc<Set>, primary: bool, work: Duration) -> Member {
+    pub fn start(set: &Arc<Set>, nth: usize, work: Duration) -> Member {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap().to_string();
         let pace = Arc::new(Mutex::new(Pace::Whole));
-        let (set, shared) = (set.clone(), pace.clone());
+        let (shared, at) = (set.clone(), pace.clone());
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
-                let (set, pace) = (set.clone(), shared.clone());
+                let (set, pace) = (shared.clone(), at.clone());
                 let serve = move || {
-                    serve(stream, &set, &pace, primary, work);
+                    serve(stream, &set, &pace, nth, work);
                 };
                 let _ = thread::Builder::new().stack_size(128 << 10).spawn(serve);
             }
         });
-        Member { address, primary, pace }
+        Member { address, primary: set.primary() == Some(nth), pace }
     }
 
     /// From the next answer on.
@@ -95,7 +186,7 @@
     comment.split(',').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
 }
 
-fn serve(mut stream: TcpStream, set: &Set, pace: &Mutex<Pace>, primary: bool, work: Duration) -> Option<()> {
+fn serve(mut stream: TcpStream, set: &Set, pace: &Mutex<Pace>, nth: usize, work: Duration) -> Option<()> {
     let _ = stream.set_nodelay(true);
     let mut head = [0; 4];
     stream.read_exact(&mut head).ok()?;
@@ -106,25 +197,39 @@
         let (_, body) = message(&mut stream)?;
         let text = std::str::from_utf8(&body).ok()?.trim_end_matches('\0');
         let id = named(text, "id")?;
-        sleep(work);
-        let (mut out, mut position) = (Vec::new(), unix_ms());
-        if text.starts_with("INSERT") {
-            if primary {
-                position = set.write(named(text, "k"));
-                out = row_of(&made(id, 64), WRITTEN);
-            } else {
-                put(&mut out, b'E', b"SERROR\0C25006\0Mno\0\0");
+        let patience = named(text, "d").and_then(|ms| ms.parse().ok()).unwrap_or(0);
+        let (reply, primary, position) = match set.begins(nth, Duration::from_millis(patience)) {
+            Err(reply) => (reply, set.primary() == Some(nth), 0),
+            Ok(()) => {
+                sleep(work);
+                set.works(nth, text)
             }
-        } else {
-            let key = text.split('\'').nth(1)?;
-            out = row_of(&made(id, length_of(key)), READ);
-        }
+        };
+        let mut out = match reply {
+            Reply::Row if text.starts_with("INSERT") => row_of(&made(id, 64), WRITTEN),
+            Reply::Row => row_of(&made(id, length_of(text.split('\'').nth(1)?)), READ),
+            refused => refusal(refused),
+        };
         let ends = out.len();
         let mode = if primary { "read-write" } else { "read-only" };
         put(&mut out, b'S', format!("mode\0{mode}\0").as_bytes());
-        put(&mut out, b'S', format!("wal_time\0{position}\0").as_bytes());
+        if position > 0 {
+            put(&mut out, b'S', format!("wal_time\0{position}\0").as_bytes());
+        }
         put(&mut out, b'Z', b"I");
         let at = *pace.lock().unwrap();
         write_paced(&mut stream, &out, ends, at).ok()?;
     }
 }
+
+/// The error with which a machine turns a statement away.
+pub fn refusal(reply: Reply) -> Vec<u8> {
+    let code = match reply {
+        Reply::NotPrimary => "25006",
+        Reply::Behind => "72000",
+        _ => "53300",
+    };
+    let mut out = Vec::new();
+    put(&mut out, b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes());
+    out
+}
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -340,3 +340,20 @@
     b.pass(400);
     assert_snapshot!(b.trace());
 }
+
+#[test]
+fn a_write_that_has_used_up_its_half_asks_on_once_nobody_was_asked_for_half_a_second() {
+    let mut f = facts();
+    f.allowed.dispatches = 6;
+    let mut b = Bench::with_set(f);
+    b.arrive(0, 5, Some(9));
+    // A round in vain: nobody is the primary, and half of the dispatches are gone.
+    for nth in 0..3 {
+        b.pass(20);
+        b.end(0, nth, Ending::Missed, Some((false, 0)));
+    }
+    b.pass(520);
+    // The former primary has its role again.
+    b.end(0, 3, Ending::Answered, Some((true, 0)));
+    assert_snapshot!(b.trace());
+}
