--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -7,3 +7,8 @@
   grace      = "2s"
   stall      = "1s"
 }
+
+# Not followed on the users' platform: what passes through one process is all that it asks for.
+sessions {
+  follow = false
+}
--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -165,6 +165,7 @@
             session,
             ends: down(request.due_ms),
             token: carried.then(|| now + 1 - down(f64::from(request.token_age_ms))),
+            hold_till: 0,
             repeat: request.bits & 2 != 0,
         })
     }
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -20,8 +20,10 @@
 use leverpoint::decide::Decider;
 use leverpoint::indices::{HeldCommand, Indices, Sessions};
 use leverpoint::interface::{
-    Arrival, DispatchEnd, Effect, Effects, Ending, Input, Listed, Need, News, Phase, Tenths, Word,
+    Arrival, DispatchEnd, Effect, Effects, Ending, Input, Listed, Need, News, Phase, Tenths, Token::Carried,
+    Word,
 };
+use leverpoint_facts::operator::Follow;
 use leverpoint_facts::settings::{Opened, down, span, up};
 use leverpoint_ground::{Instant, now, plant, since, sleep_until, unix};
 use tokio::sync::{Notify, oneshot};
@@ -29,6 +31,7 @@
 use crate::counters::{Counters, add};
 use crate::fault::{Cause, Fault, Reached};
 use crate::peers::{Peer, Room};
+use crate::sessions::{Ledger, Of};
 
 /// Unix time, read once; from then on it only goes forward.
 struct Clock {
@@ -59,6 +62,15 @@
     }
 }
 
+/// What a statement says that its session must see.
+#[derive(Debug, PartialEq)]
+pub enum After<'a> {
+    /// A position, in Unix milliseconds.
+    Ms(f64),
+    /// A token that this or another gateway has given out.
+    Token(&'a str),
+}
+
 /// What a statement says of itself.
 #[derive(Debug, PartialEq)]
 pub struct Said<'a> {
@@ -70,8 +82,7 @@
     pub wait: f64,
     pub keyed: bool,
     pub repeat: bool,
-    /// Position that the session must see, in Unix milliseconds.
-    pub after: Option<f64>,
+    pub after: Option<After<'a>>,
     /// The quoted key.
     pub key: &'a str,
     pub write: bool,
@@ -91,6 +102,8 @@
 pub struct Row {
     pub messages: Vec<u8>,
     pub rooms: Vec<Room>,
+    /// What its client may carry from here on, to say what it has written.
+    pub token: Option<String>,
 }
 
 /// Why a command is not taken.
@@ -148,6 +161,10 @@
     pub reached: Cell<Reached>,
     /// When the row was whole.
     delivered: Cell<Option<Tenths>>,
+    /// The session whose read or write it is, where sessions are followed.
+    of: Option<Of>,
+    /// A whole row that waits for what the server says of itself.
+    kept: RefCell<Option<Row>>,
 }
 
 #[derive(Clone, Copy)]
@@ -157,8 +174,44 @@
 }
 
 impl Order {
-    /// The row is whole: the client need not wait for what else the server says.
-    pub fn deliver(&self, row: Row) {
+    /// The row is whole: the client need not wait for what else the server says, unless that tells whether the row
+    /// stands for what its session must see, or which token goes with it.
+    pub fn row_is_whole(&self, row: Row) {
+        let ledger = self.exchange.sessions.as_ref().zip(self.of.as_ref());
+        if let Some((ledger, of)) = ledger {
+            ledger.row_is_whole(of, self.exchange.clock.now());
+            if ledger.waits_for_word(of) {
+                self.kept.replace(Some(row));
+                return;
+            }
+        }
+        self.deliver(row);
+    }
+
+    /// The server is ready again behind a row, and has said this of itself: what the dispatch has come to.
+    pub fn said_all(&self, said: Spoken) -> Ending {
+        let Some(mut row) = self.kept.take() else { return Ending::Answered };
+        if let Some((ledger, of)) = self.exchange.sessions.as_ref().zip(self.of.as_ref()) {
+            let word = self.exchange.word(Some(said), of.write);
+            if !ledger.covers(of, self.exchange.clock.now(), word) {
+                return Ending::Missed;
+            }
+            row.token = ledger.token(of, word);
+        }
+        self.deliver(row);
+        Ending::Answered
+    }
+
+    /// Nothing more comes. A write's row is its answer all the same; a read's whose position is not known is none.
+    pub fn said_no_more(&self) {
+        if self.of.is_some_and(|of| of.write)
+            && let Some(row) = self.kept.take()
+        {
+            self.deliver(row);
+        }
+    }
+
+    fn deliver(&self, row: Row) {
         self.delivered.set(Some(self.exchange.clock.now()));
         if let Errand::Dispatch { cmd, .. } = self.errand {
             self.exchange.deliver(cmd, Final::Answered(row));
@@ -198,6 +251,7 @@
 
 impl Drop for Order {
     fn drop(&mut self) {
+        self.said_no_more();
         let ending = if self.delivered() { Ending::Answered } else { self.fault(Cause::Broken).ending() };
         self.report(ending, None);
     }
@@ -245,6 +299,7 @@
     held: HeldCommand,
     id: Box<str>,
     statement: Rc<Statement>,
+    of: Option<Of>,
     answer: Option<oneshot::Sender<Final>>,
     peer: Rc<Peer>,
     dispatches: u32,
@@ -289,6 +344,8 @@
     listed: Cell<bool>,
     first_list: Notify,
     pub counters: Rc<Counters>,
+    /// None where sessions are not followed beyond what the module remembers.
+    pub sessions: Option<Ledger>,
     log: slog::Logger,
 }
 
@@ -322,7 +379,15 @@
 }
 
 impl Exchange {
-    pub fn new(opened: Opened, counters: Rc<Counters>, log: slog::Logger) -> Rc<Self> {
+    pub fn new(
+        opened: Opened,
+        counters: Rc<Counters>,
+        follow: Option<Follow>,
+        log: slog::Logger,
+    ) -> Rc<Self> {
+        let clock = Clock::new();
+        let seed = opened.facts.seed;
+        let sessions = follow.map(|follow| Ledger::new(follow, seed, clock.now()));
         let inner = Inner {
             decider: Decider::new(opened.facts.clone()),
             commands: Vec::new(),
@@ -338,7 +403,8 @@
             inner: RefCell::new(inner),
             inbox: RefCell::default(),
             busy: Cell::new(false),
-            clock: Clock::new(),
+            clock,
+            sessions,
             following: Cell::new(opened.facts.list.pushed),
             ask_once: Cell::new(false),
             list_wanted: Notify::new(),
@@ -409,12 +475,28 @@
             let come_back = if allowed.come_back { come_back.min(allowed.longest_come_back) } else { 0 };
             return Err(Refused::Throttled(come_back as u64 / 10, until));
         }
+        if matches!(said.after, Some(After::Token(_))) && self.sessions.is_none() {
+            return Err(bad("22023", "after: expected a number from 0 to 1e13".into()));
+        }
         inner.open.insert(said.id.into());
         let session = match facts.need {
             Need::Write => Some(inner.sessions.writes(said.key.into())),
             Need::Session => Some(inner.sessions.reads(said.key.into())),
             _ => None,
         };
+        let now = self.clock.now();
+        let target = ends.min(now + facts.target) - now;
+        let (after, token) = match said.after {
+            Some(After::Ms(ms)) => (Some(ms), None),
+            Some(After::Token(text)) => (None, Some(text)),
+            None => (None, None),
+        };
+        let ledger = self.sessions.as_ref();
+        let of = ledger.and_then(|l| l.arrives(facts.need, (said.set, said.key), set, now, target, token));
+        let debt = of.and_then(|of| of.debt);
+        // What a client says by itself counts where the settings have it carry its position.
+        let carries = self.opened.facts.token == Carried;
+        let after = after.filter(|&at| at > 0.0 && carries).map(up);
         let (answer, receiver) = oneshot::channel();
         let running = Running {
             held: HeldCommand { write, session, ..HeldCommand::default() },
@@ -424,6 +506,7 @@
                 wait_at: said.wait_at.clone(),
                 write,
             }),
+            of,
             answer: Some(answer),
             peer: peer.clone(),
             dispatches: 0,
@@ -445,7 +528,8 @@
             set,
             session,
             ends,
-            token: said.after.filter(|&at| at > 0.0).map(up),
+            token: after.max(debt.map(|debt| debt.token)),
+            hold_till: debt.map_or(0, |debt| debt.hold_till),
             repeat: said.repeat,
         };
         drop(guard);
@@ -515,6 +599,9 @@
                 let held = running.held;
                 let word = self.word(said, held.write && ending == Ending::Answered);
                 let word = word.filter(|_| !(held.write && plant("token-forgotten")));
+                if let (Some(ledger), Some(of)) = (&self.sessions, &running.of) {
+                    ledger.ended(of, now, ending, word);
+                }
                 inner.sessions.ended(&held, ending, word);
                 let end = DispatchEnd { cmd, nth, server, ending, took, over: held.over, word };
                 inner.decider.take(now, &Input::Ended(end), effects);
@@ -590,23 +677,24 @@
         running.held.out += 1;
         let called_off = Rc::new(Notify::new());
         running.out.push((nth, called_off.clone()));
-        let command = Some((running.statement.clone(), running.peer.clone()));
+        let command = (running.statement.clone(), running.peer.clone(), running.of);
         drop(inner);
-        self.order(Errand::Dispatch { cmd, nth }, server, command, timeout, called_off);
+        self.order(Errand::Dispatch { cmd, nth }, server, Some(command), timeout, called_off);
     }
 
     fn order(
         self: &Rc<Self>,
         errand: Errand,
         server: usize,
-        command: Option<(Rc<Statement>, Rc<Peer>)>,
+        command: Option<(Rc<Statement>, Rc<Peer>, Option<Of>)>,
         wait: Tenths,
         called_off: Rc<Notify>,
     ) {
         let sent = self.clock.now();
         let address = self.inner.borrow().places.get(server).and_then(|p| p.address);
         let until = self.clock.instant(sent + wait);
-        let (statement, peer) = command.unzip();
+        let of = command.as_ref().and_then(|(.., of)| *of);
+        let (statement, peer) = command.map(|(statement, peer, _)| (statement, peer)).unzip();
         let mut order = Order {
             exchange: self.clone(),
             sent,
@@ -621,6 +709,8 @@
             called_off,
             reached: Cell::new(Reached::NotConnected),
             delivered: Cell::new(None),
+            of,
+            kept: RefCell::new(None),
         };
         self.counters.dispatched();
         match (address, self.carrier.borrow().as_ref()) {
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod exchange;
 pub mod fault;
 pub mod peers;
+pub mod sessions;
 
 /// Bytes that each direction of a connection may hold without a claim: usual messages. Those of 1,024
 /// connections come to 8 MiB.
--- /dev/null
+++ b/exchange/src/sessions.rs
@@ -0,0 +1,174 @@
+//! Owns the book of sessions as the exchange uses it: tells it what passes, and asks it what a read must see.
+//!
+//! It must never decide what a read owes, or which server it is sent to.
+
+use std::cell::{Cell, RefCell};
+
+use leverpoint::interface::{Ending, Need, Tenths, Word};
+use leverpoint_facts::operator::Follow;
+use leverpoint_ground::{plant, unix};
+use leverpoint_sessions::{Book, Counts, Debt, Keys, Record, Token, number};
+
+/// The session of one command.
+#[derive(Clone, Copy, Debug)]
+pub struct Of {
+    pub session: u64,
+    set: usize,
+    came: Tenths,
+    pub write: bool,
+    /// What its read must see.
+    pub debt: Option<Debt>,
+}
+
+/// Takes what is worth keeping beyond this process's life.
+pub type Keeper = Box<dyn Fn(&mut dyn Iterator<Item = Record>)>;
+
+pub struct Ledger {
+    book: RefCell<Book>,
+    keys: Keys,
+    secret: u64,
+    looked: Cell<Tenths>,
+    keeper: RefCell<Option<Keeper>>,
+}
+
+/// Both clocks are looked at so often.
+const LOOK: Tenths = 10_000;
+
+impl Ledger {
+    pub fn new(mut follow: Follow, seed: u64, now: Tenths) -> Ledger {
+        if plant("epoch-forgotten") {
+            follow.terms.stays = None;
+        }
+        let book = RefCell::new(Book::new(follow.terms, now, seed));
+        Ledger {
+            book,
+            keys: follow.keys,
+            secret: follow.number,
+            looked: Cell::new(now),
+            keeper: RefCell::new(None),
+        }
+    }
+
+    /// Who takes what is worth keeping.
+    pub fn keep_by(&self, keeper: Keeper) {
+        *self.keeper.borrow_mut() = Some(keeper);
+    }
+
+    /// What was kept of the life before, as far as it could be read.
+    pub fn recovered(&self, records: impl Iterator<Item = Record>) {
+        self.book.borrow_mut().recovered(records);
+    }
+
+    fn look(&self, now: Tenths) {
+        if now - self.looked.get() >= LOOK {
+            self.looked.set(now);
+            self.book.borrow_mut().clocks(now, (unix().as_micros() / 100) as Tenths, now);
+        }
+    }
+
+    /// A command comes; `carried`: the text of a token.
+    #[allow(clippy::too_many_arguments)]
+    pub fn arrives(
+        &self,
+        need: Need,
+        said: (u16, &str),
+        set: usize,
+        now: Tenths,
+        target: Tenths,
+        carried: Option<&str>,
+    ) -> Option<Of> {
+        let session = number(self.secret, said.0, said.1);
+        let of = |write, debt| Of { session, set, came: now, write, debt };
+        self.look(now);
+        let mut book = self.book.borrow_mut();
+        match need {
+            Need::Write => {
+                book.writes(session, now);
+                Some(of(true, None))
+            }
+            Need::Session => {
+                let named = carried.and_then(|text| self.named(text, session));
+                if carried.is_some() && named.is_none() {
+                    book.counts.refused_tokens += 1;
+                }
+                Some(of(false, Some(book.reads(session, set, now, target, named))))
+            }
+            _ => None,
+        }
+    }
+
+    fn named(&self, text: &str, session: u64) -> Option<Tenths> {
+        if plant("token-forged") {
+            return Some(1);
+        }
+        self.keys.read(text, session)
+    }
+
+    /// Whether the row of this command is kept until the server has said its role and position.
+    pub fn waits_for_word(&self, of: &Of) -> bool {
+        if of.write { !self.keys.is_empty() } else { of.debt.is_some() && !plant("uncovered") }
+    }
+
+    /// A write's row is whole, and what the server says behind it is not in yet: until then its position is not known.
+    pub fn row_is_whole(&self, of: &Of, now: Tenths) {
+        if of.write {
+            self.book.borrow_mut().unclear(of.session, now);
+        }
+    }
+
+    /// Whether what a server says behind the row stands for what the read owes.
+    pub fn covers(&self, of: &Of, now: Tenths, word: Option<Word>) -> bool {
+        let Some(debt) = of.debt else { return true };
+        let Some(word) = word else { return false };
+        self.book.borrow_mut().covers(now, word.primary, word.position, debt.token)
+    }
+
+    /// The token for a write that was answered at that position.
+    pub fn token(&self, of: &Of, word: Option<Word>) -> Option<String> {
+        let position = word?.position?;
+        of.write.then(|| self.keys.sign(&Token { session: of.session, position })).flatten()
+    }
+
+    /// A dispatch has ended.
+    pub fn ended(&self, of: &Of, now: Tenths, ending: Ending, word: Option<Word>) {
+        let mut book = self.book.borrow_mut();
+        match (of.write, ending) {
+            (true, Ending::Answered) => book.wrote(of.session, now, word.and_then(|w| w.position)),
+            (true, ending) if !ending.never_ran() => book.unclear(of.session, now),
+            (false, Ending::Answered | Ending::Missed) => {
+                let at_replica = word.is_some_and(|w| !w.primary);
+                if at_replica && of.debt.is_some_and(|debt| !debt.exact) {
+                    book.at_replica(of.set, now, now - of.came, ending == Ending::Answered);
+                }
+            }
+            _ => {}
+        }
+        let keeper = self.keeper.borrow();
+        let mut records = book.take_records();
+        if let Some(keep) = &*keeper {
+            keep(&mut records);
+        }
+    }
+
+    pub fn counts(&self) -> Counts {
+        self.book.borrow().counts
+    }
+
+    /// One line of names and counts.
+    pub fn line(&self) -> String {
+        let book = self.book.borrow();
+        let c = book.counts;
+        format!(
+            "sessions.known={} sessions.bytes={} reads.exact={} reads.instant={} reads.carried={} \
+             tokens.refused={} sessions.let_go={} epochs={}",
+            book.sessions(),
+            book.bytes(),
+            c.exact,
+            c.instant,
+            c.carried,
+            c.refused_tokens,
+            c.let_go,
+            c.epochs
+        )
+    }
+}
--- a/facts/src/operator.rs
+++ b/facts/src/operator.rs
@@ -13,6 +13,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+use data_encoding::HEXLOWER;
+use leverpoint_sessions::{Key, Keys, Terms};
+
 use crate::file;
 use crate::key::Fault;
 
@@ -21,6 +24,36 @@
 #[serde(deny_unknown_fields, default)]
 struct Blocks {
     slow: Slow,
+    sessions: Sessions,
+}
+
+/// Sessions beyond what passes through this process: what a read must see, whoever took its session's writes.
+#[derive(Debug, Default, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+struct Sessions {
+    /// Whether they are followed; without it a session's read must see what passed through this process.
+    #[schemars(extend("x-expected" = "true or false"))]
+    follow: Option<bool>,
+    /// Whether a session may be at another instance while this one lives.
+    #[schemars(extend("x-expected" = "true or false"))]
+    moves: Option<bool>,
+    /// A session that was seen here within this time has been nowhere else since.
+    stays: Option<Span>,
+    /// How far any two machines' clocks may differ.
+    clocks: Option<Span>,
+    /// How long a session is known exactly after it was last seen.
+    exact: Option<Span>,
+    /// Sessions known exactly at most.
+    #[schemars(range(min = 16, max = 16_000_000), extend("x-expected" = "a whole number from 16 to 16000000"))]
+    known: Option<u32>,
+    /// Cells of the summary of sessions that are no longer known exactly, a row and minute.
+    #[schemars(range(min = 16, max = 16_000_000), extend("x-expected" = "a whole number from 16 to 16000000"))]
+    cells: Option<u32>,
+    /// Keys of the tokens that clients carry, the one that signs first; without any, clients carry none.
+    #[schemars(length(max = 16), extend("x-expected" = "a list of up to 16 keys"))]
+    keys: Option<Vec<Secret>>,
+    /// What numbers sessions, the same for all instances; else each life has its own.
+    number: Option<Number>,
 }
 
 /// Peers that read or write slowly. What is not said follows from the limits and the settings.
@@ -98,6 +131,29 @@
     "a size like \"128KiB\", in B, KiB or MiB",
     &[("B", 1), ("KiB", 1 << 10), ("MiB", 1 << 20)]
 );
+/// A key's number and its bytes in hexadecimal digits.
+#[derive(Clone, Deserialize, Serialize, JsonSchema)]
+#[schemars(transparent, inline, extend("pattern" = "^([0-9]|[1-9][0-9]|1[0-9]{2}|2[0-4][0-9]|25[0-5]):([0-9a-f]{2}){16,64}$",
+    "x-expected" = "a key like \"1:\" and 32 to 128 hexadecimal digits"))]
+struct Secret(String);
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("a key")
+    }
+}
+
+/// Sixteen hexadecimal digits.
+#[derive(Clone, Deserialize, Serialize, JsonSchema)]
+#[schemars(transparent, inline, extend("pattern" = "^[0-9a-f]{16}$", "x-expected" = "sixteen hexadecimal digits"))]
+struct Number(String);
+
+impl std::fmt::Debug for Number {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("a number")
+    }
+}
+
 unit!(
     Span,
     Tenths,
@@ -106,6 +162,16 @@
     &[("ms", 10), ("s", 10_000), ("m", 600_000)]
 );
 
+/// How sessions are followed.
+#[derive(Clone, Debug)]
+pub struct Follow {
+    pub terms: Terms,
+    /// Keys of tokens that clients carry; none where they carry none.
+    pub keys: Keys,
+    /// What numbers them.
+    pub number: u64,
+}
+
 /// The file as read, or as absent.
 #[derive(Debug, Default)]
 pub struct Operator {
@@ -249,6 +315,42 @@
         Ok(caps)
     }
 
+    /// How sessions are followed, and what numbers them; none where they are not. `seed` numbers them where nothing is said.
+    pub fn follow(&self, seed: u64) -> Result<Option<Follow>, Fault> {
+        let said = &self.blocks.sessions;
+        if !said.follow.unwrap_or(false) {
+            return Ok(None);
+        }
+        let usual = Terms::default();
+        let span = |said: &Option<Span>, or: Tenths| said.as_ref().map_or(or, Span::value);
+        let stays = if said.moves.unwrap_or(true) { Some(span(&said.stays, 0)) } else { None };
+        let terms = Terms {
+            stays,
+            clocks: span(&said.clocks, usual.clocks),
+            exact: span(&said.exact, usual.exact),
+            sessions: said.known.map_or(usual.sessions, |n| n as usize),
+            cells: said.cells.map_or(usual.cells, |n| n as usize),
+        };
+        let mut keys: Vec<Key> = Vec::new();
+        for Secret(text) in said.keys.iter().flatten() {
+            // The pattern has been checked.
+            let (number, hex) = text.split_once(':').unwrap_or_default();
+            let number = number.parse().unwrap_or_default();
+            if keys.iter().any(|key| key.number == number) {
+                return Err(self.fault("/sessions/keys", "each key's number once"));
+            }
+            let secret = HEXLOWER.decode(hex.as_bytes()).unwrap_or_default();
+            keys.push(Key { number, secret });
+        }
+        if !keys.is_empty() && said.number.is_none() {
+            return Err(
+                self.fault("/sessions/number", "sixteen hexadecimal digits, as tokens are bound to sessions")
+            );
+        }
+        let number = said.number.as_ref().map(|Number(hex)| u64::from_str_radix(hex, 16).unwrap_or(seed));
+        Ok(Some(Follow { terms, keys: Keys::new(keys), number: number.unwrap_or(seed) }))
+    }
+
     /// Keys that another reading has found changed.
     pub fn changed(&self, again: &Operator) -> Vec<String> {
         let mut out = Vec::new();
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -324,7 +324,10 @@
         let mut owed = Owed { until, group: None, rooms: Vec::new() };
         match answer {
             Final::Answered(row) => {
-                out = row.messages;
+                if let Some(token) = &row.token {
+                    message::notice(&mut out, "what this session has written", token);
+                }
+                out.extend(row.messages);
                 (owed.group, owed.rooms) = (Some(group), row.rooms);
             }
             Final::Throttled(ms) => throttled(&mut out, ms),
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -111,6 +111,12 @@
     put(out, b'E', &body);
 }
 
+/// Appends a NoticeResponse.
+pub fn notice(out: &mut Vec<u8>, text: &str, detail: &str) {
+    let said = [b"SNOTICE\0VNOTICE\0C00000\0M", text.as_bytes(), b"\0D", detail.as_bytes(), b"\0\0"];
+    put(out, b'N', &said);
+}
+
 /// What a gateway says first to a server.
 pub fn hello() -> Vec<u8> {
     let words = b"user\0svc\0database\0main\0\0";
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -71,7 +71,8 @@
         let (connect_timeout, idle_close) = (opened.connect_timeout, opened.idle_close);
         let servers =
             Servers::new(descriptors.clone(), peers.clone(), counters.clone(), connect_timeout, idle_close);
-        let exchange = Exchange::new(opened.clone(), counters.clone(), log.clone());
+        let follow = operator.follow(facts.seed)?;
+        let exchange = Exchange::new(opened.clone(), counters.clone(), follow, log.clone());
         exchange.set_carrier(servers.clone());
         if let Some(known) = node.known.take().and_then(|known| discovery::told(known.get().as_bytes())) {
             exchange.list(News::Remembered, &known.entries);
@@ -104,6 +105,9 @@
         slog::info!(self.log, "counters"; "all" => self.counters.line());
         slog::info!(self.log, "tables"; "hold" => format!("{:?}", self.exchange.tables()));
         slog::info!(self.log, "peers"; "all" => self.peers.line());
+        if let Some(ledger) = &self.exchange.sessions {
+            slog::info!(self.log, "sessions"; "all" => ledger.line());
+        }
     }
 
     /// Takes on what still comes for a moment, then ends each connection once nothing of it is open.
--- a/gateway/src/servers.rs
+++ b/gateway/src/servers.rs
@@ -153,6 +153,9 @@
             }
             ended => ended,
         };
+        if ended.is_err() {
+            order.said_no_more();
+        }
         match ended {
             Ok(ended) => order.end(ended.ending, Some(ended.said)),
             // The row was whole and is with the client; only the rest is missing.
@@ -374,7 +377,7 @@
                 }
                 (b'C', None) if rows == 1 && message::completes(&body, writes) => {
                     message::put(&mut row.messages, tag, &[&body]);
-                    order.deliver(std::mem::take(&mut row));
+                    order.row_is_whole(std::mem::take(&mut row));
                     coming.row_is_whole(span(caps.after_row).max(LEAST_AFTER_ROW));
                     ending = Some(Ending::Answered);
                 }
@@ -391,6 +394,7 @@
                 (b'Z', Some(ending)) if body == b"I" => {
                     // What stands behind it already belongs to no statement.
                     let reusable = self.link.input.is_empty() || plant("leftovers-kept");
+                    let ending = if ending == Ending::Answered { order.said_all(said) } else { ending };
                     return Ok(Ended { ending, said, reusable });
                 }
                 _ => return Err(order.fault(Cause::Garbled)),
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -5,7 +5,7 @@
 
 use std::ops::Range;
 
-use leverpoint_exchange::exchange::Said;
+use leverpoint_exchange::exchange::{After, Said};
 
 /// The parts of a read around its key.
 const READ: [&str; 2] = ["SELECT v FROM records WHERE k = '", "' /* "];
@@ -14,6 +14,9 @@
 /// A key or an id longer than this is none; the form's are sixteen digits.
 const LONGEST_NAME: usize = 1 << 10;
 
+/// A token's length; a position's digits are fewer.
+const TOKEN: usize = leverpoint_sessions::LENGTH;
+
 /// What a client sends that is no statement in the form, but is answered all the same.
 #[derive(Debug, PartialEq)]
 pub enum Kind<'a> {
@@ -119,7 +122,11 @@
         wait: number("d", wait)?,
         keyed: !mark.is_empty(),
         repeat: repeat == "1",
-        after: if after.is_empty() { None } else { Some(number("after", after)?) },
+        after: match after {
+            "" => None,
+            token if token.len() == TOKEN => Some(After::Token(token)),
+            _ => Some(After::Ms(number("after", after)?)),
+        },
         key,
         write,
         wait_at,
--- /dev/null
+++ b/rig/src/sessions.rs
@@ -0,0 +1,284 @@
+//! Owns the experiment with sessions: a gateway is killed right after it has answered a write, and the session reads
+//! through another one and through the one that is started again.
+//!
+//! It must never count a read as complete by what the gateway says of it: the set knows what each row was made from.
+
+use std::io::Write as _;
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use hdrhistogram::Histogram;
+use leverpoint_emulator::set::Build;
+use leverpoint_stands::agent::agent;
+use leverpoint_stands::client::judged;
+use leverpoint_stands::crowd::Judged;
+use leverpoint_stands::gateway::{self, Gateway};
+use leverpoint_stands::member::{Member, PLAIN, Set};
+use leverpoint_stands::values::made;
+use leverpoint_stands::wire::{STARTUP, http, list, message, put, query, target};
+use serde::Serialize;
+
+use crate::slow::SETTINGS;
+
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// Clients carry tokens; else nothing is shared.
+    pub carried: bool,
+    pub tries: usize,
+    pub short: bool,
+    pub seed: u64,
+    pub out: PathBuf,
+    pub without: bool,
+    pub program: Option<PathBuf>,
+}
+
+#[derive(Debug, Default, Serialize)]
+pub struct Figures {
+    pub tries: usize,
+    pub reads: usize,
+    pub missing: usize,
+    pub failed: usize,
+    pub to_primary_share: f64,
+    pub needless_share: f64,
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+    pub wrong: usize,
+}
+
+/// Lanes play side by side, each with two gateways of its own on the same set.
+const LANES: usize = 6;
+const MEMBERS: usize = 4;
+/// Replication within a data centre, on the slow side.
+const BUILD: Build = Build { lag: 150, ..PLAIN };
+const WORK: Duration = Duration::from_millis(2);
+const PATIENCE: Duration = Duration::from_millis(2_000);
+
+/// What one lane has measured.
+struct Record {
+    times: Histogram<u64>,
+    figures: Figures,
+    primary: usize,
+    needless: usize,
+}
+
+struct Lane<'a> {
+    set: &'a Set,
+    program: &'a Path,
+    known: &'a str,
+    operator: &'a str,
+    gateways: [Option<Gateway>; 2],
+    record: Record,
+    chance: Rng,
+    name: usize,
+    ids: usize,
+}
+
+/// One answer, whole: its messages, up to ready.
+fn ask(stream: &mut TcpStream, text: &str) -> Option<Vec<u8>> {
+    stream.write_all(&query(text)).ok()?;
+    let mut heard = Vec::new();
+    loop {
+        let (tag, body) = message(stream)?;
+        put(&mut heard, tag, &body);
+        if tag == b'Z' {
+            return Some(heard);
+        }
+    }
+}
+
+/// The token in the notice before an answer.
+fn token(heard: &[u8]) -> Option<String> {
+    let mut rest = heard;
+    let (tag, body) = message(&mut rest)?;
+    let field = body.split(|b| *b == 0).find(|f| f.first() == Some(&b'D'));
+    field.filter(|_| tag == b'N').map(|f| String::from_utf8_lossy(&f[1..]).into_owned())
+}
+
+impl Lane<'_> {
+    fn start(&mut self, nth: usize) {
+        let agent = agent();
+        let _ = agent.say.send(http(self.known));
+        // Another address each time: the one before may still be in the kernel's hands.
+        let address = gateway::free_address();
+        let text = gateway::config(&address, &agent.address, self.known, SETTINGS);
+        let words: &[&str] = if self.operator.is_empty() { &[] } else { &["--operator", self.operator] };
+        self.gateways[nth] = Some(gateway::start(&text, address, agent, self.program, words));
+    }
+
+    fn connect(&self, nth: usize) -> Option<TcpStream> {
+        let mut stream = TcpStream::connect(&self.gateways[nth].as_ref()?.address).ok()?;
+        stream.set_read_timeout(Some(PATIENCE * 2)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        stream.write_all(STARTUP).ok()?;
+        while message(&mut stream)?.0 != b'Z' {}
+        Some(stream)
+    }
+
+    fn id(&mut self) -> String {
+        self.ids += 1;
+        format!("l{}n{}", self.name, self.ids)
+    }
+
+    /// Sends a command until it is answered or its time is over; what was heard, its id and how long it took.
+    fn command(
+        &mut self,
+        nth: usize,
+        text: &dyn Fn(&str, u128) -> String,
+        length: usize,
+    ) -> Option<(Vec<u8>, String)> {
+        let ends = Instant::now() + PATIENCE;
+        while Instant::now() < ends {
+            let id = self.id();
+            let left = ends.saturating_duration_since(Instant::now()).as_millis().max(1);
+            let Some(heard) = self.connect(nth).and_then(|mut stream| ask(&mut stream, &text(&id, left)))
+            else {
+                thread::sleep(Duration::from_millis(5));
+                continue;
+            };
+            match judged(&heard, &made(&id, length)) {
+                Judged::Answered => return Some((heard, id)),
+                Judged::Wrong => self.record.figures.wrong += 1,
+                Judged::Throttled(ms) => thread::sleep(Duration::from_millis(ms.clamp(10, 300))),
+                Judged::Failed => thread::sleep(Duration::from_millis(20)),
+            }
+        }
+        None
+    }
+
+    fn read(&mut self, nth: usize, session: &str, token: Option<&str>) {
+        let Some(wrote) = self.set.wrote(session) else { return };
+        let after = token.map(|token| format!(",after={token}")).unwrap_or_default();
+        let text = |id: &str, left: u128| {
+            format!(
+                "SELECT v FROM records WHERE k = '{session}' /* id={id},c=own,t=honest,d={left},cluster=2{after} */"
+            )
+        };
+        let began = Instant::now();
+        let answered = self.command(nth, &text, 64);
+        let took = began.elapsed().as_micros() as u64;
+        self.record.figures.reads += 1;
+        let row = answered.and_then(|(_, id)| self.set.take_read(&id));
+        let Some(row) = row else {
+            self.record.figures.failed += 1;
+            return;
+        };
+        self.record.times.saturating_record(took);
+        self.record.figures.missing += usize::from(row.at < wrote);
+        self.record.primary += usize::from(row.by_primary);
+        self.record.needless += usize::from(row.needless);
+    }
+
+    fn one_try(&mut self, nth: usize) {
+        let writer = self.chance.usize(..2);
+        // Sessions come back, so that both gateways have met most of them before.
+        let session = format!("64-s{}x{}", self.name, nth % 40);
+        let key = format!("{:x}", self.chance.u64(..));
+        let text = |id: &str, left: u128| {
+            format!(
+                "INSERT INTO records (k, v) VALUES ('{session}', '\\x9f') RETURNING v \
+                 /* id={id},c=report,t=honest,d={left},k={key},cluster=2 */"
+            )
+        };
+        self.record.figures.tries += 1;
+        let Some((heard, _)) = self.command(writer, &text, 64) else {
+            self.record.figures.failed += 1;
+            return;
+        };
+        // Killed outright: the guard's drop sends SIGKILL and waits for its end.
+        self.gateways[writer] = None;
+        let token = token(&heard);
+        self.read(1 - writer, &session, token.as_deref());
+        self.start(writer);
+        self.read(writer, &session, token.as_deref());
+    }
+}
+
+pub fn run(asked: &Asked) -> Result<Figures, String> {
+    let beside = std::env::current_exe().map_err(|e| e.to_string())?.with_file_name("leverpoint");
+    let program = asked.program.clone().unwrap_or(beside);
+    if !program.is_file() {
+        return Err(format!("no gateway at {}: build it, or name it with --program", program.display()));
+    }
+    let set = Set::new(BUILD, MEMBERS);
+    let members: Vec<_> = (0..MEMBERS).map(|n| Member::start(&set, n, WORK)).collect();
+    let mode = |m: &Member| if m.primary { "read-write" } else { "read-only" };
+    let targets: Vec<_> = members
+        .iter()
+        .enumerate()
+        .map(|(n, m)| target(&format!("s{n}"), &m.address, "up", mode(m)))
+        .collect();
+    let known = list(7, true, &targets);
+    std::fs::create_dir_all(&asked.out).map_err(|e| e.to_string())?;
+    let file = asked.out.join("sessions.hcl");
+    let keys = "  keys   = [\"7:00112233445566778899aabbccddeeff\"]\n  number = \"8c1f30d27a5be964\"\n";
+    let words = format!("sessions {{\n  follow = true\n{}}}\n", if asked.carried { keys } else { "" });
+    std::fs::write(&file, words).map_err(|e| e.to_string())?;
+    let operator = if asked.without { String::new() } else { file.display().to_string() };
+    let tries = if asked.short { asked.tries.min(400) } else { asked.tries };
+    let (next, over) = (AtomicUsize::new(0), AtomicBool::new(false));
+    let lane = |name: usize| {
+        let times = Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds of our own");
+        let record = Record { times, figures: Figures::default(), primary: 0, needless: 0 };
+        let chance = Rng::with_seed(asked.seed * 100 + name as u64);
+        let (set, program): (&Set, &Path) = (&set, &program);
+        let gateways = [None, None];
+        let mut lane =
+            Lane { set, program, known: &known, operator: &operator, gateways, record, chance, name, ids: 0 };
+        (0..2).for_each(|nth| lane.start(nth));
+        loop {
+            let nth = next.fetch_add(1, Relaxed);
+            if nth >= tries {
+                return lane.record;
+            }
+            lane.one_try(nth);
+        }
+    };
+    let records: Vec<Record> = thread::scope(|scope| {
+        let lanes: Vec<_> = (0..LANES).map(|name| scope.spawn(move || lane(name))).collect();
+        let (set, over): (Arc<Set>, &AtomicBool) = (set.clone(), &over);
+        let mut chance = Rng::with_seed(asked.seed);
+        // Meanwhile replicas stand still for a while, and the primary changes every few seconds.
+        let trouble = scope.spawn(move || {
+            let mut beat = 0;
+            while !over.load(Relaxed) {
+                let member = chance.usize(..MEMBERS);
+                if set.primary() != Some(member) {
+                    set.hold_up(member, true);
+                }
+                thread::sleep(Duration::from_millis(chance.u64(100..600)));
+                set.hold_up(member, false);
+                thread::sleep(Duration::from_millis(chance.u64(100..600)));
+                beat += 1;
+                if beat % 4 == 0 {
+                    set.hand_over(chance.usize(..MEMBERS));
+                }
+            }
+        });
+        let records = lanes.into_iter().map(|lane| lane.join().expect("a lane ends by itself")).collect();
+        over.store(true, Relaxed);
+        let _ = trouble.join();
+        records
+    });
+    let mut times = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).map_err(|e| e.to_string())?;
+    let (mut all, mut primary, mut needless) = (Figures::default(), 0, 0);
+    for record in records {
+        times.add(&record.times).map_err(|e| e.to_string())?;
+        all.tries += record.figures.tries;
+        all.reads += record.figures.reads;
+        all.missing += record.figures.missing;
+        all.failed += record.figures.failed;
+        all.wrong += record.figures.wrong;
+        primary += record.primary;
+        needless += record.needless;
+    }
+    let share = |n: usize| n as f64 / times.len().max(1) as f64;
+    (all.to_primary_share, all.needless_share) = (share(primary), share(needless));
+    all.p50_ms = times.value_at_quantile(0.5) as f64 / 1e3;
+    all.p99_ms = times.value_at_quantile(0.99) as f64 / 1e3;
+    Ok(all)
+}
--- a/rig/src/slow.rs
+++ b/rig/src/slow.rs
@@ -62,7 +62,7 @@
 /// After a slow period, what it left behind passes before the next clean one begins.
 const SETTLES: Duration = Duration::from_millis(2_500);
 
-const SETTINGS: &str = r#"{"balancers": 1, "me": 0, "tickMs": 5.0, "zone": 0, "zones": ["a"], "discovery": "pushed",
+pub const SETTINGS: &str = r#"{"balancers": 1, "me": 0, "tickMs": 5.0, "zone": 0, "zones": ["a"], "discovery": "pushed",
     "contract": {"answerSlackMs": 20.0, "coldMs": 9000.0, "fallMs": 1500.0, "fallMultiple": 2.5, "startCapacity": 0.2,
      "stopSendingWithinMs": 500.0},
     "familyInfo": {"guards": "reject", "listRole": "delayed", "oldestDataMs": [0.0, 0.0, 0.0],
--- /dev/null
+++ b/sessions/tests/sessions.rs
@@ -0,0 +1,253 @@
+//! What a read owes, over courses of a session; the index against a plain map; the summary never asks for less.
+
+use std::collections::BTreeMap;
+
+use fastrand::Rng;
+use leverpoint_sessions::{
+    Book, Clock, Entry, Index, Key, Keys, Known, Owes, Price, Record, Seen, Sketch, Terms, Token, step,
+};
+
+const MS: i64 = 10;
+const BEGAN: i64 = 1_000_000 * MS;
+
+#[test]
+fn the_table_of_what_is_known_is_whole_and_owes_an_instant_where_nothing_is_known() {
+    let mut out = String::new();
+    let known = [Known::Nothing, Known::Doubt, Known::Followed, Known::Wrote];
+    let seen = [
+        Seen::Read,
+        Seen::ReadAfterGap,
+        Seen::Write,
+        Seen::WriteAfterGap,
+        Seen::Answered,
+        Seen::Unclear,
+        Seen::Carried,
+        Seen::Told,
+    ];
+    for known in known {
+        for seen in seen {
+            let (next, owes) = step(known, seen);
+            out += &format!("{known:?}, {seen:?}: {next:?}, {owes:?}\n");
+            let blind = matches!(known, Known::Nothing | Known::Doubt) && seen == Seen::Read;
+            assert!(!blind || owes == Owes::Instant);
+        }
+    }
+    insta::assert_snapshot!(out);
+}
+
+/// A course: what happens to session 5 after so many milliseconds, and what a read then owes of the time before it.
+fn course(terms: Terms, steps: &[(i64, &str)]) -> String {
+    let mut book = Book::new(terms, BEGAN, 3);
+    let mut out = String::new();
+    for (ms, what) in steps {
+        let now = BEGAN + ms * MS;
+        let read = |book: &mut Book, carried| {
+            let debt = book.reads(5, 0, now, 4_000, carried);
+            let of = (debt.token - BEGAN) as f64 / 10.0;
+            format!(
+                "owes all up to {of} ms, {}",
+                if debt.exact { "exactly" } else { "for want of knowledge" }
+            )
+        };
+        let said = match *what {
+            "read" => read(&mut book, None),
+            "read with a token of 40 ms" => read(&mut book, Some(BEGAN + 40 * MS)),
+            "read with a token from the future" => read(&mut book, Some(now + 60_000 * MS)),
+            "write" => {
+                book.writes(5, now);
+                String::new()
+            }
+            "answered" => {
+                book.wrote(5, now, Some(now));
+                String::new()
+            }
+            "unclear" => {
+                book.unclear(5, now);
+                String::new()
+            }
+            "told 30 ms" => {
+                book.told(&Record { session: 5, position: BEGAN + 30 * MS });
+                String::new()
+            }
+            "step" => {
+                book.clocks(now, now, now);
+                format!("ends the epoch: {}", book.clocks(now, now + 20_000 * MS, now))
+            }
+            other => panic!("{other}"),
+        };
+        out += &format!("{ms:>6} ms {what}{}{said}\n", if said.is_empty() { "" } else { ": " });
+    }
+    out
+}
+
+#[test]
+fn courses_of_a_session() {
+    let anywhere = Terms { clocks: 0, ..Terms::default() };
+    let stays = Terms { stays: Some(2_000 * MS), ..anywhere };
+    let never_moves = Terms { stays: None, ..anywhere };
+    let mut out = String::new();
+    let mut play = |name: &str, terms, steps: &[(i64, &str)]| {
+        out += &format!("{name}\n{}", course(terms, steps));
+    };
+    let usual = [(10, "write"), (20, "answered"), (100, "read"), (300, "read"), (5_000, "read")];
+    play("may be anywhere", anywhere, &usual);
+    play("stays for two seconds", stays, &usual);
+    play("never moves", never_moves, &usual);
+    play(
+        "a read before its write's answer",
+        stays,
+        &[(10, "read"), (20, "write"), (30, "read"), (40, "answered"), (50, "read")],
+    );
+    play(
+        "a write whose answer was lost",
+        stays,
+        &[(10, "write"), (30, "unclear"), (50, "read"), (60, "read")],
+    );
+    play("never met, told of a write", stays, &[(10, "told 30 ms"), (50, "read")]);
+    play(
+        "carried",
+        anywhere,
+        &[(100, "read with a token of 40 ms"), (110, "read with a token from the future"), (120, "read")],
+    );
+    play(
+        "carries less than passed here",
+        never_moves,
+        &[(50, "write"), (60, "answered"), (100, "read with a token of 40 ms")],
+    );
+    play("a clock steps", never_moves, &[(50, "write"), (60, "answered"), (70, "step"), (100, "read")]);
+    insta::assert_snapshot!(out);
+}
+
+#[test]
+fn the_index_holds_what_a_map_holds_and_hands_out_what_leaves() {
+    let mut chance = Rng::with_seed(5);
+    let mut index = Index::new(300, BEGAN);
+    let mut plain: BTreeMap<u64, Entry> = BTreeMap::new();
+    for n in 1..20_000 {
+        let number = chance.u64(1..600) << 20 | 1;
+        let now = BEGAN + n * 8;
+        let entry = Entry { known: Known::Wrote, floor: 0, wrote: now, seen: now & !3 };
+        if let Some((left, held)) = index.set(number, &entry) {
+            assert_eq!(plain.remove(&left), Some(held));
+        }
+        plain.insert(number, entry);
+        assert_eq!(index.count(), plain.len());
+        if n % 500 == 0 {
+            index.sweep(64, now - 2_000, |left, held| assert_eq!(plain.remove(&left), Some(held)));
+            plain.iter().for_each(|(number, held)| assert_eq!(index.get(*number), Some(*held)));
+        }
+    }
+    assert!(plain.len() > 200);
+}
+
+#[test]
+fn a_moved_base_asks_for_more_and_never_for_less() {
+    let mut index = Index::new(16, BEGAN);
+    let old = Entry { known: Known::Wrote, floor: 0, wrote: BEGAN + 50, seen: BEGAN + 52 };
+    index.set(7, &old);
+    let far = BEGAN + (1 << 33);
+    index.set(8, &Entry { known: Known::Followed, floor: far, wrote: 0, seen: far });
+    let held = index.get(7).unwrap();
+    assert!(held.wrote >= old.wrote && held.seen <= old.seen, "{held:?}");
+    assert_eq!(index.get(8).unwrap().floor, far);
+}
+
+#[test]
+fn the_summary_never_asks_for_less_than_was_noted() {
+    let mut chance = Rng::with_seed(9);
+    let mut sketch = Sketch::new(64, 5, 1_000);
+    let mut plain: BTreeMap<u64, i64> = BTreeMap::new();
+    for n in 0..30_000i64 {
+        // Also out of order, by up to a few slices.
+        let (session, position) = (chance.u64(..), (n - chance.i64(0..4_000)).max(1));
+        let session = if chance.bool() { session } else { *plain.keys().next().unwrap_or(&session) };
+        sketch.note(session, position);
+        let held = plain.entry(session).or_default();
+        *held = (*held).max(position);
+        if plain.len() > 200 {
+            plain.clear();
+        }
+        plain.iter().for_each(|(session, wrote)| assert!(sketch.owed(*session) >= *wrote));
+    }
+    assert!(sketch.bytes() <= 5 * 2 * 64 * 4);
+}
+
+#[test]
+fn what_the_index_lets_go_the_book_still_owes() {
+    let terms = Terms { stays: None, sessions: 64, clocks: 0, cells: 1_024, ..Terms::default() };
+    let mut book = Book::new(terms, BEGAN, 1);
+    let wrote = |n: u64| BEGAN + n as i64 * 3;
+    for n in 1..2_000u64 {
+        book.writes(n << 24, wrote(n));
+        book.wrote(n << 24, wrote(n), Some(wrote(n)));
+    }
+    assert!(book.sessions() <= 64 && book.counts.let_go > 1_900);
+    for n in 1..2_000u64 {
+        let debt = book.reads(n << 24, 0, wrote(2_000), 4_000, None);
+        assert!(debt.token >= wrote(n) && debt.exact, "{n}: {debt:?}");
+    }
+}
+
+#[test]
+fn only_a_token_of_its_own_session_under_a_held_key_is_one() {
+    let key = |number, byte| Key { number, secret: vec![byte; 16] };
+    let (old, new) = (Keys::new(vec![key(1, 7)]), Keys::new(vec![key(2, 8), key(1, 7)]));
+    let text = old.sign(&Token { session: 5, position: 77 }).unwrap();
+    assert_eq!((old.read(&text, 5), new.read(&text, 5)), (Some(77), Some(77)));
+    assert_eq!(old.read(&text, 6), None, "another session's");
+    assert_eq!(Keys::new(vec![key(2, 8)]).read(&text, 5), None, "a key that has gone");
+    assert_eq!(
+        old.read(&new.sign(&Token { session: 5, position: 77 }).unwrap(), 5),
+        None,
+        "a key not held yet"
+    );
+    assert_eq!(Keys::default().sign(&Token { session: 5, position: 77 }), None);
+    for at in 0..text.len() {
+        for byte in *b"Ax_" {
+            let mut forged = text.clone().into_bytes();
+            if std::mem::replace(&mut forged[at], byte) != byte {
+                // The last digit's low bits say nothing, and are refused unless they are as they were.
+                assert_eq!(old.read(std::str::from_utf8(&forged).unwrap(), 5), None, "{at}");
+            }
+        }
+    }
+    assert_eq!((old.read("", 5), old.read(&text[1..], 5)), (None, None));
+}
+
+#[test]
+fn a_clock_that_is_behind_is_found_by_the_primary_and_a_replica_ahead_is_not_believed() {
+    let mut clock = Clock::new(10);
+    assert_eq!(clock.instant(BEGAN), BEGAN + 10);
+    clock.primary_at(BEGAN, BEGAN + 300);
+    assert_eq!(clock.instant(BEGAN), BEGAN + 310);
+    assert!(clock.may_be(BEGAN, BEGAN + 310) && !clock.may_be(BEGAN, BEGAN + 311));
+    (0..1_000).for_each(|_| clock.primary_at(BEGAN, BEGAN - 5));
+    assert!(clock.instant(BEGAN) < BEGAN + 80);
+    let mut book = Book::new(Terms { clocks: 10, ..Terms::default() }, BEGAN, 1);
+    assert!(!book.covers(BEGAN, false, Some(BEGAN + 5_000), BEGAN));
+    assert!(book.covers(BEGAN, false, Some(BEGAN + 5), BEGAN));
+    assert!(!book.covers(BEGAN, false, None, BEGAN) && book.covers(BEGAN, true, None, BEGAN));
+}
+
+#[test]
+fn waits_follow_what_replicas_need_and_only_some_go_to_a_primary_at_once() {
+    let (mut price, mut chance) = (Price::new(), Rng::with_seed(2));
+    let mut out = String::new();
+    for (name, needs) in [("replicas 8 ms behind", 80), ("90 ms behind", 900), ("2 s behind", 20_000)] {
+        (0..64).for_each(|_| price.covered(0, BEGAN, needs));
+        let mut holds: Vec<i64> = (0..200)
+            .map(|n| {
+                let now = BEGAN + n * 50;
+                price.came(0, now);
+                price.hold(0, now, 4_000, &mut chance) - now
+            })
+            .collect();
+        holds.sort_unstable();
+        let at_once = holds.iter().filter(|hold| **hold == 0).count();
+        out += &format!(
+            "{name}: {at_once} of 200 at once, waits of {} to {} tenths, half below {}\n",
+            holds[at_once], holds[199], holds[100]
+        );
+    }
+    insta::assert_snapshot!(out);
+}
--- a/sim/src/checker.rs
+++ b/sim/src/checker.rs
@@ -52,6 +52,9 @@
     effects_had: u32,
     /// What a read must see.
     owed: Option<Tenths>,
+    /// What its session has written, wherever, and the newest state that a row of it was made from.
+    history: Option<Tenths>,
+    newest: Tenths,
 }
 
 pub struct Checker {
@@ -113,12 +116,21 @@
             dispatches: Vec::new(),
             effects_had: 0,
             owed,
+            history: None,
+            newest: 0,
         };
         if self.commands.insert(id.to_owned(), command).is_some() {
             self.breaks(now, 1, format!("{id} was sent twice under one id"));
         }
     }
 
+    /// Where sessions are followed: what a read's session has been told it wrote, through any gateway.
+    pub fn follows(&mut self, id: &str, history: Option<Tenths>) {
+        if let Some(command) = self.commands.get_mut(id) {
+            command.history = history;
+        }
+    }
+
     /// What a command's read must see, for the machine's own check.
     pub fn owed(&self, id: &str) -> Option<Tenths> {
         self.commands.get(id)?.owed
@@ -133,12 +145,17 @@
         let throttled = how == Final::Throttled && command.effects == Effects::Mutating && ran;
         let wrong = how == Final::Answered && value != made(id, command.length);
         let unmade = how == Final::Answered && !ran;
+        let missing = command.history.filter(|wrote| how == Final::Answered && command.newest < *wrote);
+        let missing = missing.map(|wrote| wrote - command.newest);
         if again {
             self.breaks(now, 1, format!("{id} was answered twice"));
         }
         if wrong || unmade {
             self.breaks(now, 1, format!("{id} was answered with what was not made for it"));
         }
+        if let Some(by) = missing {
+            self.breaks(now, 5, format!("{id} lacks its session's write by {} ms", by / 10));
+        }
         if throttled {
             self.breaks(now, 2, format!("{id} may have run and was throttled"));
         }
@@ -232,6 +249,9 @@
 
     /// A row is made from data of that age for a command that may owe more.
     pub fn read(&mut self, now: Tenths, id: &str, position: Tenths, excused: bool) {
+        if let Some(command) = self.commands.get_mut(id) {
+            command.newest = command.newest.max(position);
+        }
         let owed = self.commands.get(id).and_then(|c| c.owed);
         if let Some(owed) = owed.filter(|owed| position < *owed && !excused) {
             self.breaks(now, 5, format!("{id} read data {} ms older than it may", (owed - position) / 10));
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -198,6 +198,7 @@
     set: usize,
     session: Option<usize>,
     token: Option<Tenths>,
+    hold_till: Tenths,
     came: Tenths,
     ends: Tenths,
     over_share: bool,
@@ -340,7 +341,7 @@
         let token = match self.facts.token {
             Token::Carried => a.token,
             Token::Remembered => a.session.map(|s| {
-                let floor = self.set(a.set).floor;
+                let floor = self.set(a.set).floor.max(a.token.unwrap_or(0));
                 self.tokens.get(s).map_or(floor, |&t| t.max(floor))
             }),
         };
@@ -350,6 +351,7 @@
             set: a.set,
             session: a.session,
             token: token.filter(|&t| t > 0),
+            hold_till: a.hold_till,
             came: self.now,
             ends: a.ends,
             over_share,
@@ -746,6 +748,8 @@
         };
         let found = match g.facts.need {
             _ if g.only_primary() => self.primary(cmd),
+            // What is held for a replica about to cover it goes to one believed to, and to nobody else meanwhile.
+            _ if self.now < c.hold_till && !c.missed => self.pick(cmd, owed, 1),
             // After a miss the read goes to a replica known to cover it, else the primary, and only where
             // that has no room to one believed to.
             _ if self.facts.check == Check::None => {
@@ -817,6 +821,8 @@
                 (None, Some(p)) if self.now - self.believed(s) > 400 * MS => p - self.now,
                 (None, _) => 0,
                 (Some(owed), Some(p)) if p >= owed => 0,
+                // Whom nothing is known of is not believed by a read that is held for who is about to cover it.
+                (Some(_), None) if self.now < c.hold_till => 2,
                 (Some(owed), _) => match owed - self.believed(s) {
                     short if short <= 0 => 1,
                     // Coarse steps, so that those about as near are told apart by load.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -176,8 +176,10 @@
     pub session: Option<usize>,
     /// When the client stops waiting, rounded down.
     pub ends: Tenths,
-    /// Position that the session must see, where the client carries it.
+    /// Position that the session must see, beside what is remembered here.
     pub token: Option<Tenths>,
+    /// Before this a read that owes it waits for a replica that is about to cover it, and goes to no primary.
+    pub hold_till: Tenths,
     /// The client says that this is a repeat.
     pub repeat: bool,
 }
--- a/stands/src/gateway.rs
+++ b/stands/src/gateway.rs
@@ -31,7 +31,8 @@
 /// An address of its own: a free port of a loopback address that no other test has.
 pub fn free_address() -> String {
     let nth = STARTED.fetch_add(1, Ordering::Relaxed);
-    let free = TcpListener::bind(format!("127.7.{}.{}:0", std::process::id() % 250, nth + 1));
+    let (block, last) = (7 + nth / 250 % 100, nth % 250 + 1);
+    let free = TcpListener::bind(format!("127.{block}.{}.{last}:0", std::process::id() % 250));
     free.unwrap().local_addr().unwrap().to_string()
 }
 
--- a/stands/src/member.rs
+++ b/stands/src/member.rs
@@ -46,8 +46,18 @@
     keys: BTreeMap<String, Tenths>,
     twice: u64,
     runs: u64,
-    /// Rows of session reads from data before the session's last write.
-    missing: u64,
+    /// By id, until it is asked for: how the newest row of a session's read was made.
+    reads: BTreeMap<String, Made>,
+}
+
+/// How a row of a session's read was made.
+#[derive(Clone, Copy, Debug)]
+pub struct Made {
+    /// The state it was made from, as a position.
+    pub at: Tenths,
+    pub by_primary: bool,
+    /// By the primary, though a replica had what the session has written.
+    pub needless: bool,
 }
 
 pub struct Member {
@@ -64,7 +74,7 @@
             keys: BTreeMap::new(),
             twice: 0,
             runs: 0,
-            missing: 0,
+            reads: BTreeMap::new(),
         };
         // The model begins an hour into its time, so that no lag reaches back before it.
         let began = Instant::now() - Duration::from_secs(3_600);
@@ -81,9 +91,14 @@
         (state.twice, state.runs)
     }
 
-    /// Rows of session reads that lacked the session's last write.
-    pub fn missing(&self) -> u64 {
-        self.state.lock().unwrap().missing
+    /// The position of a session's last write, as the set knows it.
+    pub fn wrote(&self, session: &str) -> Option<Tenths> {
+        self.state.lock().unwrap().wrote.get(session).copied()
+    }
+
+    /// How the newest row for that read was made.
+    pub fn take_read(&self, id: &str) -> Option<Made> {
+        self.state.lock().unwrap().reads.remove(id)
     }
 
     pub fn primary(&self) -> Option<usize> {
@@ -145,10 +160,12 @@
             }
             state.wrote.insert(session.to_owned(), at);
         }
-        let owes = named(text, "c") == Some("own");
-        if !write && owes && reply == Reply::Row && state.wrote.get(session).is_some_and(|wrote| at < *wrote)
-        {
-            state.missing += 1;
+        if !write && named(text, "c") == Some("own") && reply == Reply::Row {
+            let wrote = state.wrote.get(session).copied().unwrap_or(0);
+            let others = (0..state.model.machines.len()).filter(|m| !state.model.is_primary(*m));
+            let needless = primary && others.into_iter().any(|m| state.model.position(now, m) >= wrote);
+            let id = named(text, "id").unwrap_or_default().to_owned();
+            state.reads.insert(id, Made { at, by_primary: primary, needless });
         }
         // A commit is told rounded up, as a position is the whole milliseconds that are surely applied.
         let ms = if effect { (at as u128).div_ceil(10) } else { at as u128 / 10 };
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -357,3 +357,22 @@
     b.end(0, 3, Ending::Answered, Some((true, 0)));
     assert_snapshot!(b.trace());
 }
+
+#[test]
+fn a_read_held_for_a_replica_goes_to_one_about_to_cover_it_and_else_to_the_primary_when_its_time_is_over() {
+    let mut b = Bench::with_set(facts());
+    // Nothing is known of any replica: the read waits its time out, and goes on as others do.
+    b.token = Some(b.now);
+    b.hold_till = b.now + 40 * MS;
+    b.arrive(0, 2, Some(9));
+    b.pass(60);
+    b.end(0, 0, Ending::Answered, Some((false, 15 * MS)));
+    // That one is known to be 15 ms behind: the next goes to it as soon as it is believed to cover.
+    b.token = Some(b.now);
+    b.hold_till = b.now + 60 * MS;
+    b.arrive(1, 2, Some(9));
+    b.pass(60);
+    // It had not reached it after all: the primary.
+    b.end(1, 0, Ending::Missed, Some((false, 80 * MS)));
+    assert_snapshot!(b.trace());
+}
