store/: what sessions have written is kept on a disk that lasts, read back after a crash

Need: an installation of one instance forgets at each restart what its sessions have written, and owes all up to that instant.

What is read back lowers what is owed only after an orderly end and where there is no other instance; else it raises it at the most.

--- a/exchange/src/sessions.rs
+++ b/exchange/src/sessions.rs
@@ -55,8 +55,8 @@
     }
 
     /// What was kept of the life before, as far as it could be read.
-    pub fn recovered(&self, records: impl Iterator<Item = Record>) {
-        self.book.borrow_mut().recovered(records);
+    pub fn recovered(&self, records: impl Iterator<Item = Record>, whole: Option<Tenths>) {
+        self.book.borrow_mut().recovered(records, whole);
     }
 
     fn look(&self, now: Tenths) {
--- a/facts/src/operator.rs
+++ b/facts/src/operator.rs
@@ -4,6 +4,7 @@
 //! a fault names file, line, key and what was expected.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use hcl_edit::Span as _;
 use hcl_edit::structure::Body;
@@ -37,6 +38,14 @@
     /// Whether a session may be at another instance while this one lives.
     #[schemars(extend("x-expected" = "true or false"))]
     moves: Option<bool>,
+    /// Whether there is no other instance at all, also while this one is down.
+    #[schemars(extend("x-expected" = "true or false"))]
+    alone: Option<bool>,
+    /// A folder on a disk that lasts, for what sessions have written.
+    #[schemars(length(min = 1, max = 4096), extend("x-expected" = "the path of a folder"))]
+    disk: Option<String>,
+    /// What a crash may lose of it.
+    loses: Option<Span>,
     /// A session that was seen here within this time has been nowhere else since.
     stays: Option<Span>,
     /// How far any two machines' clocks may differ.
@@ -170,8 +179,13 @@
     pub keys: Keys,
     /// What numbers them.
     pub number: u64,
+    /// Where what they have written is kept, and how much of it a crash may lose, but for one commit.
+    pub disk: Option<(String, Duration)>,
 }
 
+/// A group commit every 20 ms: fifty a second, which the slowest disk in use takes.
+const LOSES: Tenths = 200;
+
 /// The file as read, or as absent.
 #[derive(Debug, Default)]
 pub struct Operator {
@@ -323,9 +337,11 @@
         }
         let usual = Terms::default();
         let span = |said: &Option<Span>, or: Tenths| said.as_ref().map_or(or, Span::value);
-        let stays = if said.moves.unwrap_or(true) { Some(span(&said.stays, 0)) } else { None };
+        let alone = said.alone.unwrap_or(false);
+        let stays = if said.moves.unwrap_or(!alone) { Some(span(&said.stays, 0)) } else { None };
         let terms = Terms {
             stays,
+            alone,
             clocks: span(&said.clocks, usual.clocks),
             exact: span(&said.exact, usual.exact),
             sessions: said.known.map_or(usual.sessions, |n| n as usize),
@@ -348,7 +364,17 @@
             );
         }
         let number = said.number.as_ref().map(|Number(hex)| u64::from_str_radix(hex, 16).unwrap_or(seed));
-        Ok(Some(Follow { terms, keys: Keys::new(keys), number: number.unwrap_or(seed) }))
+        if alone && said.moves == Some(true) {
+            return Err(self.fault("/sessions/moves", "false, as sessions.alone is true"));
+        }
+        if said.disk.is_some() && said.number.is_none() {
+            return Err(
+                self.fault("/sessions/number", "sixteen hexadecimal digits, as sessions are kept by them")
+            );
+        }
+        let disk =
+            said.disk.as_ref().map(|path| (path.clone(), crate::settings::span(span(&said.loses, LOSES))));
+        Ok(Some(Follow { terms, keys: Keys::new(keys), number: number.unwrap_or(seed), disk }))
     }
 
     /// Keys that another reading has found changed.
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -15,13 +15,15 @@
 use leverpoint_facts::Fault;
 use leverpoint_facts::node::{self, Node};
 use leverpoint_facts::operator::{self, Operator};
-use leverpoint_ground::{Listener, Stream, now, since, sleep, spawn, timeout};
+use leverpoint_ground::{Listener, Stream, now, since, sleep, spawn, timeout, unix};
 use leverpoint_pace::Caps;
 use leverpoint_pace::caps::Limits;
+use leverpoint_store::Writer;
 use tokio::sync::Notify;
 
 use crate::clients;
 use crate::discovery::{self, Whereabouts};
+use crate::kept;
 use crate::message::LONGEST;
 use crate::servers::Servers;
 
@@ -36,6 +38,7 @@
     pub counters: Rc<Counters>,
     leaving: Rc<Leaving>,
     agent: Rc<Whereabouts>,
+    kept: Option<Rc<Writer>>,
     stop: Rc<Notify>,
     stopped: Rc<Notify>,
     log: slog::Logger,
@@ -72,7 +75,8 @@
         let servers =
             Servers::new(descriptors.clone(), peers.clone(), counters.clone(), connect_timeout, idle_close);
         let follow = operator.follow(facts.seed)?;
-        let exchange = Exchange::new(opened.clone(), counters.clone(), follow, log.clone());
+        let exchange = Exchange::new(opened.clone(), counters.clone(), follow.clone(), log.clone());
+        let kept = follow.and_then(|follow| kept::start(&follow, &exchange, &log));
         exchange.set_carrier(servers.clone());
         if let Some(known) = node.known.take().and_then(|known| discovery::told(known.get().as_bytes())) {
             exchange.list(News::Remembered, &known.entries);
@@ -97,7 +101,7 @@
             told.notify_one();
         });
         let operator = RefCell::new(operator);
-        Ok(Gateway { node, operator, exchange, peers, counters, leaving, agent, stop, stopped, log })
+        Ok(Gateway { node, operator, exchange, peers, counters, leaving, agent, kept, stop, stopped, log })
     }
 
     /// Prints what is counted and how much each table holds.
@@ -123,6 +127,10 @@
         }
         slog::info!(self.log, "counters"; "all" => self.counters.line());
         slog::info!(self.log, "peers"; "all" => self.peers.line());
+        if let Some(kept) = &self.kept {
+            // All that was answered has been handed over by now.
+            kept.close(unix().as_micros() as i64 / 100);
+        }
         slog::info!(self.log, "ended"; "open" => self.exchange.open());
     }
 
--- /dev/null
+++ b/gateway/tests/sessions.rs
@@ -0,0 +1,102 @@
+//! A session's own write is seen through a gateway that has never met it, and after a restart, while replicas lag.
+
+use std::path::Path;
+use std::time::Duration;
+
+use leverpoint_emulator::set::Build;
+use leverpoint_stands::agent::agent;
+use leverpoint_stands::gateway::{self, Gateway};
+use leverpoint_stands::member::{Member, PLAIN, Set};
+use leverpoint_stands::wire::{http, list, target};
+
+const SETTINGS: &str = r#"{"balancers": 1, "me": 0, "tickMs": 5.0, "zone": 0, "zones": ["a"], "discovery": "pushed",
+    "contract": {"answerSlackMs": 20.0, "coldMs": 9000.0, "fallMs": 1500.0, "fallMultiple": 2.5, "startCapacity": 0.2,
+     "stopSendingWithinMs": 500.0},
+    "familyInfo": {"guards": "reject", "listRole": "delayed", "oldestDataMs": [0.0, 0.0],
+     "readLevel": ["own_writes", "update"], "stamps": true, "tokens": "router"},
+    "grades": [
+     {"name": "own", "aimMs": 4000.0, "deadlineMs": 20000.0, "semantics": "pure", "worth": 2.0},
+     {"name": "report", "aimMs": 4000.0, "deadlineMs": 20000.0, "semantics": "token", "group": "cell",
+      "keyTtlMs": 3000.0, "worth": 3.0}],
+    "policyLimits": {"sendCap": 6, "retryAfter": true, "maxRetryAfterMs": 1000.0, "connectTimeoutMs": 2000.0,
+     "idleCloseMs": 15000.0},
+    "tenants": [{"name": "acme", "share": 1.0, "quotaPerS": 1000.0}]}"#;
+
+/// A set whose replicas are ten minutes behind, so that only its primary has what was written just now.
+fn set() -> (std::sync::Arc<Set>, Vec<Member>, String) {
+    let set = Set::new(Build { lag: 6_000_000, ..PLAIN }, 3);
+    let members: Vec<_> = (0..3).map(|n| Member::start(&set, n, Duration::from_millis(1))).collect();
+    let mode = |m: &Member| if m.primary { "read-write" } else { "read-only" };
+    let targets: Vec<_> = members
+        .iter()
+        .enumerate()
+        .map(|(n, m)| target(&format!("s{n}"), &m.address, "up", mode(m)))
+        .collect();
+    (set, members, list(7, true, &targets))
+}
+
+fn start(known: &str, operator: &Path) -> Gateway {
+    let (agent, address) = (agent(), gateway::free_address());
+    agent.say.send(http(known)).unwrap();
+    let text = gateway::config(&address, &agent.address, known, SETTINGS);
+    let words = ["--operator", operator.to_str().unwrap()];
+    gateway::start(&text, address, agent, Path::new(env!("CARGO_BIN_EXE_leverpoint")), &words)
+}
+
+fn file(name: &str, text: &str) -> std::path::PathBuf {
+    let path = std::env::temp_dir().join(format!("leverpoint-sessions-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn write(id: &str) -> String {
+    format!(
+        "INSERT INTO records (k, v) VALUES ('64-p', '\\x9f') RETURNING v /* id={id},c=report,t=acme,d=20000,k={id},cluster=2 */"
+    )
+}
+
+fn read(id: &str, after: &str) -> String {
+    format!("SELECT v FROM records WHERE k = '64-p' /* id={id},c=own,t=acme,d=20000,cluster=2{after} */")
+}
+
+#[test]
+fn a_gateway_that_has_never_met_the_session_gives_it_its_write() {
+    let (set, _members, known) = set();
+    let follows = file("follow.hcl", "sessions {\n  follow = true\n}\n");
+    let (one, other) = (start(&known, &follows), start(&known, &follows));
+    assert!(one.client().ask(&write("w1")).starts_with('T'));
+    drop(one);
+    assert!(other.client().ask(&read("r1", "")).starts_with('T'));
+    let row = set.take_read("r1").unwrap();
+    assert!(row.at >= set.wrote("64-p").unwrap() && row.by_primary);
+    let again = start(&known, &follows);
+    assert!(again.client().ask(&read("r2", "")).starts_with('T'));
+    assert!(set.take_read("r2").unwrap().at >= set.wrote("64-p").unwrap());
+    assert_eq!(other.end(&["answered", "failed", "throttled"]), "answered=1 failed=0 throttled=0 ");
+    std::fs::remove_file(follows).unwrap();
+}
+
+#[test]
+fn what_was_written_is_read_back_after_an_orderly_end() {
+    let (set, _members, known) = set();
+    let folder = std::env::temp_dir().join(format!("leverpoint-sessions-disk-{}", std::process::id()));
+    let text = format!(
+        "sessions {{\n  follow = true\n  alone = true\n  number = \"8c1f30d27a5be964\"\n  disk = \"{}\"\n}}\n",
+        folder.display()
+    );
+    let follows = file("disk.hcl", &text);
+    let one = start(&known, &follows);
+    assert!(one.client().ask(&write("w1")).starts_with('T'));
+    one.end(&[]);
+    let other = start(&known, &follows);
+    let said = other.said.borrow().join("\n");
+    assert!(said.contains("\"many\"=1") || said.contains("many=1") || said.contains("many=\"1\""), "{said}");
+    // Who has written is owed that, exactly; who has not is owed nothing, so a replica answers.
+    assert!(other.client().ask(&read("r1", "")).starts_with('T'));
+    assert!(set.take_read("r1").unwrap().by_primary);
+    assert!(other.client().ask(&read("r2", "").replace("64-p", "64-q")).starts_with('T'));
+    assert!(!set.take_read("r2").unwrap().by_primary);
+    drop(other);
+    std::fs::remove_file(follows).unwrap();
+    std::fs::remove_dir_all(folder).unwrap();
+}
--- a/sessions/src/book.rs
+++ b/sessions/src/book.rs
@@ -16,6 +16,8 @@
 pub struct Terms {
     /// A session unseen here for so long may have been elsewhere; none: it never is while this process lives.
     pub stays: Option<Tenths>,
+    /// Nor while this process is down: there is no other instance.
+    pub alone: bool,
     /// How far clocks may differ.
     pub clocks: Tenths,
     /// Sessions known exactly, and how long one is after it was last seen.
@@ -27,7 +29,7 @@
 
 impl Default for Terms {
     fn default() -> Self {
-        Terms { stays: Some(0), clocks: 10, sessions: 1 << 16, exact: 600_000, cells: 1 << 12 }
+        Terms { stays: Some(0), alone: false, clocks: 10, sessions: 1 << 16, exact: 600_000, cells: 1 << 12 }
     }
 }
 
@@ -230,9 +232,13 @@
         self.keep(record.session, &entry);
     }
 
-    /// All that this process's last epoch answered up to that instant is told; only where sessions never are elsewhere
-    /// does that lower what is owed, to that instant's own: what was answered after it is not known.
-    pub fn recovered(&mut self, records: impl Iterator<Item = Record>) {
+    /// What was kept of the epoch before. `whole`: it ended in order, and all of it is here but for what lies up to that
+    /// position. Only then, and where there is no other instance, is that all that sessions owe; else it may raise what a
+    /// session owes and nothing more.
+    pub fn recovered(&mut self, records: impl Iterator<Item = Record>, whole: Option<Tenths>) {
+        if let Some(gone) = whole.filter(|_| self.terms.alone && self.terms.stays.is_none()) {
+            self.floor = gone;
+        }
         records.for_each(|record| self.told(&record));
     }
 
--- /dev/null
+++ b/store/src/log.rs
@@ -0,0 +1,265 @@
+//! Owns the course of a store: what it holds, its segments and snapshots, and what is read back after a crash.
+//!
+//! It must never take back a position that is higher than what was kept, or believe anything behind a torn record of
+//! the same file.
+
+use std::collections::BTreeMap;
+use std::io;
+
+use crate::disk::Disk;
+use crate::frame::{Item, Parsed, parse, put};
+
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// A segment that is longer is closed; then a snapshot takes the place of all before.
+    pub segment: usize,
+    /// Positions held at most; the oldest go first.
+    pub positions: usize,
+    /// Positions older than this are not carried into a snapshot: every replica has them.
+    pub keeps: i64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { segment: 4 << 20, positions: 1 << 17, keeps: 36_000_000 }
+    }
+}
+
+/// The number of no session: its position is one that every session may have written.
+pub const ALL: u64 = 0;
+
+/// Where a file could not be read on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Torn {
+    pub file: String,
+    pub at: usize,
+}
+
+/// What was read back.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Recovered {
+    pub positions: BTreeMap<u64, i64>,
+    /// By set: who was the primary, since when.
+    pub roles: BTreeMap<u16, (String, i64)>,
+    /// All that was answered up to then is here; 0 where that is not known.
+    pub until: i64,
+    /// It ended in order, and nothing is missing.
+    pub closed: bool,
+    pub torn: Vec<Torn>,
+}
+
+pub struct Store<D: Disk> {
+    disk: D,
+    limits: Limits,
+    held: Recovered,
+    /// The file that is appended to, its number and length.
+    number: u64,
+    length: usize,
+    /// Something could not be written: what is on the disk ends before it, and this store writes no more.
+    broken: bool,
+}
+
+const LOG: &str = "log-";
+const SNAPSHOT: &str = "snap-";
+/// A snapshot that is being written.
+const NEXT: &str = "next";
+
+fn numbered(name: &str, prefix: &str) -> Option<u64> {
+    name.strip_prefix(prefix)
+        .filter(|digits| digits.len() == 16)
+        .and_then(|d| u64::from_str_radix(d, 16).ok())
+}
+
+fn name(prefix: &str, number: u64) -> String {
+    format!("{prefix}{number:016x}")
+}
+
+impl Recovered {
+    fn take(&mut self, item: Item) {
+        match item {
+            Item::Position { session, position } => {
+                let held = self.positions.entry(session).or_insert(position);
+                *held = (*held).max(position);
+            }
+            Item::Role { set, server, at } => {
+                let held = self.roles.entry(set).or_insert_with(|| (server.clone(), at));
+                if held.1 <= at {
+                    *held = (server, at);
+                }
+            }
+            Item::Until { at } => self.until = self.until.max(at),
+            Item::Closed { at } => (self.until, self.closed) = (self.until.max(at), true),
+            Item::End { .. } => {}
+        }
+    }
+
+    /// Reads a file on to its first torn record; whether all of it was read, and whether it ends as a snapshot does.
+    fn read(&mut self, bytes: &[u8], file: &str, number: u64) -> (bool, bool) {
+        let (mut at, mut count) = (0, 0);
+        loop {
+            match parse(&bytes[at..], number) {
+                Parsed::Item(Item::End { count: said }, _) => return (true, said == count),
+                Parsed::Item(item, length) => {
+                    // What comes after an end in order was written by a life that has not said so.
+                    self.closed = false;
+                    self.take(item);
+                    (at, count) = (at + length, count + 1);
+                }
+                Parsed::Nothing => return (true, false),
+                Parsed::Torn => {
+                    self.torn.push(Torn { file: file.to_owned(), at });
+                    return (false, false);
+                }
+            }
+        }
+    }
+
+    fn items(&self, keeps_from: i64) -> impl Iterator<Item = Item> {
+        let positions = self.positions.iter().filter(move |(_, position)| **position >= keeps_from);
+        let positions =
+            positions.map(|(session, position)| Item::Position { session: *session, position: *position });
+        let roles = self.roles.iter();
+        let roles =
+            roles.map(|(set, (server, at))| Item::Role { set: *set, server: server.clone(), at: *at });
+        positions.chain(roles).chain([Item::Until { at: self.until }])
+    }
+}
+
+impl<D: Disk> Store<D> {
+    /// Reads back what is there, and begins a file of its own: what another life left is never appended to.
+    pub fn open(mut disk: D, limits: Limits) -> io::Result<(Store<D>, Recovered)> {
+        let names = disk.list()?;
+        let mut snapshots: Vec<u64> = names.iter().filter_map(|n| numbered(n, SNAPSHOT)).collect();
+        let mut logs: Vec<u64> = names.iter().filter_map(|n| numbered(n, LOG)).collect();
+        snapshots.sort_unstable();
+        logs.sort_unstable();
+        let mut held = Recovered::default();
+        let mut from = 0;
+        // The newest snapshot that is whole; its name was given after all of it was synced, so others are the disk's fault.
+        for number in snapshots.iter().rev() {
+            let file = name(SNAPSHOT, *number);
+            let mut read = Recovered { torn: std::mem::take(&mut held.torn), ..Recovered::default() };
+            let whole = match disk.read(&file) {
+                Ok(bytes) => read.read(&bytes, &file, *number) == (true, true),
+                Err(_) => {
+                    read.torn.push(Torn { file, at: 0 });
+                    false
+                }
+            };
+            if whole {
+                (held, from) = (read, *number);
+                break;
+            }
+            held.torn = read.torn;
+        }
+        // Each file of the log begins with a snapshot of its number: without that nothing is known up to any time.
+        let mut unbroken = held.torn.is_empty() && from > 0;
+        let mut next = from;
+        for number in logs.iter().filter(|n| **n >= from) {
+            let file = name(LOG, *number);
+            // What is only said to be known up to a time needs all before it.
+            let until = held.until;
+            unbroken &= *number == next;
+            next = number + 1;
+            let whole = match disk.read(&file) {
+                Ok(bytes) => held.read(&bytes, &file, *number).0,
+                Err(_) => {
+                    held.torn.push(Torn { file, at: 0 });
+                    false
+                }
+            };
+            if !unbroken {
+                held.until = until;
+            }
+            unbroken &= whole;
+        }
+        held.closed &= unbroken && held.torn.is_empty();
+        if !held.torn.is_empty() && from == 0 {
+            held.until = 0;
+        }
+        let last = logs.last().copied().max(snapshots.last().copied()).unwrap_or(0);
+        let (number, length) = (last + 1, 0);
+        let mut store = Store { disk, limits, held, number, length, broken: false };
+        let recovered = store.held.clone();
+        store.held.torn.clear();
+        store.held.closed = false;
+        // A snapshot of what was read takes the place of files that can't be read on.
+        store.compact()?;
+        Ok((store, recovered))
+    }
+
+    /// Appends and syncs; after this a crash loses none of it.
+    pub fn commit(&mut self, items: &[Item]) -> io::Result<()> {
+        if self.broken {
+            return Err(io::Error::other("an earlier write has failed"));
+        }
+        let mut bytes = Vec::with_capacity(items.len() * 22);
+        items.iter().for_each(|item| put(&mut bytes, self.number, item));
+        let file = name(LOG, self.number);
+        let wrote = self.disk.append(&file, &bytes).and_then(|()| self.disk.sync(&file));
+        if let Err(e) = wrote {
+            // What was appended may stand there in part: nothing goes behind it.
+            self.broken = true;
+            return Err(e);
+        }
+        items.iter().for_each(|item| self.held.take(item.clone()));
+        self.length += bytes.len();
+        while self.held.positions.len() > self.limits.positions {
+            // Rare and bounded: a tenth goes at once, the lowest positions first.
+            let mut all: Vec<i64> = self.held.positions.values().copied().collect();
+            let tenth = all.len() / 10;
+            let (_, least, _) = all.select_nth_unstable(tenth);
+            let least = *least;
+            self.held.positions.retain(|_, position| *position > least);
+            // What has gone every session may have written.
+            self.held.take(Item::Position { session: ALL, position: least });
+        }
+        if self.length > self.limits.segment {
+            self.compact()?;
+        }
+        Ok(())
+    }
+
+    /// A snapshot of all that is held, then a new file; what it replaces goes once its name is on the disk.
+    fn compact(&mut self) -> io::Result<()> {
+        let number = self.number + 1;
+        let newest = self.held.positions.values().copied().max().unwrap_or(0);
+        let keeps_from = newest - self.limits.keeps;
+        self.held.positions.retain(|_, position| *position >= keeps_from);
+        let (mut bytes, mut count) = (Vec::new(), 0);
+        for item in self.held.items(keeps_from) {
+            put(&mut bytes, number, &item);
+            count += 1;
+        }
+        put(&mut bytes, number, &Item::End { count });
+        let made = (|| {
+            if self.disk.list()?.iter().any(|n| n == NEXT) {
+                self.disk.remove(NEXT)?;
+            }
+            self.disk.append(NEXT, &bytes)?;
+            self.disk.sync(NEXT)?;
+            self.disk.rename(NEXT, &name(SNAPSHOT, number))
+        })();
+        if made.is_err() {
+            self.broken = true;
+            return made;
+        }
+        (self.number, self.length) = (number, 0);
+        for old in self.disk.list()? {
+            let before = numbered(&old, LOG).or_else(|| numbered(&old, SNAPSHOT)).is_some_and(|n| n < number);
+            if before {
+                // One that stays is read again and adds nothing.
+                let _ = self.disk.remove(&old);
+            }
+        }
+        Ok(())
+    }
+
+    pub fn held(&self) -> &Recovered {
+        &self.held
+    }
+
+    pub fn into_disk(self) -> D {
+        self.disk
+    }
+}
--- /dev/null
+++ b/store/tests/store.rs
@@ -0,0 +1,282 @@
+//! What a store reads back after each fault of a disk: never a position higher than was kept, never less claimed as all.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
+
+use fastrand::Rng;
+use leverpoint_store::{Disk, Folder, Item, Limits, Parsed, Store, Writer, parse, put};
+
+/// A disk in memory: what was appended is kept by a crash once it was synced, in part by chance before.
+#[derive(Clone, Default)]
+struct Memory {
+    /// By name: bytes, and how many of them are synced.
+    files: BTreeMap<String, (Vec<u8>, usize)>,
+    /// So many more bytes can be written.
+    room: Option<usize>,
+    read_only: bool,
+    /// Renames since then are lost in a crash.
+    lost_renames: bool,
+    before_rename: Option<BTreeMap<String, (Vec<u8>, usize)>>,
+    short_reads: bool,
+}
+
+impl Memory {
+    /// What is there after the machine has lost its power; `part` of what was not synced has come through.
+    fn crash(mut self, part: f64) -> Memory {
+        if let Some(before) = self.before_rename.take() {
+            self.files = before;
+        }
+        for (bytes, synced) in self.files.values_mut() {
+            let kept = *synced + ((bytes.len() - *synced) as f64 * part) as usize;
+            bytes.truncate(kept);
+            *synced = kept;
+        }
+        Memory { files: self.files, ..Memory::default() }
+    }
+}
+
+impl Disk for Memory {
+    fn list(&mut self) -> io::Result<Vec<String>> {
+        Ok(self.files.keys().cloned().collect())
+    }
+
+    fn read(&mut self, name: &str) -> io::Result<Vec<u8>> {
+        let (bytes, _) = self.files.get(name).ok_or(io::ErrorKind::NotFound)?;
+        Ok(bytes[..if self.short_reads { bytes.len() / 2 } else { bytes.len() }].to_vec())
+    }
+
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        if self.read_only {
+            return Err(io::ErrorKind::ReadOnlyFilesystem.into());
+        }
+        let fits = self.room.map_or(bytes.len(), |room| room.min(bytes.len()));
+        self.files.entry(name.into()).or_default().0.extend(&bytes[..fits]);
+        self.room = self.room.map(|room| room - fits);
+        if fits < bytes.len() { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
+    }
+
+    fn sync(&mut self, name: &str) -> io::Result<()> {
+        let (bytes, synced) = self.files.get_mut(name).ok_or(io::ErrorKind::NotFound)?;
+        *synced = bytes.len();
+        Ok(())
+    }
+
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        if self.lost_renames && self.before_rename.is_none() {
+            self.before_rename = Some(self.files.clone());
+        }
+        let file = self.files.remove(from).ok_or(io::ErrorKind::NotFound)?;
+        self.files.insert(to.into(), file);
+        Ok(())
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.files.remove(name).map(drop).ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+}
+
+const SMALL: Limits = Limits { segment: 6_000, positions: 5_000, keeps: i64::MAX / 2 };
+
+fn position(n: u64) -> Item {
+    Item::Position { session: n % 97, position: n as i64 * 10 }
+}
+
+/// A store after so many commits of five items and a word on how far it reaches.
+fn filled(disk: Memory, commits: u64) -> (Store<Memory>, BTreeMap<u64, i64>) {
+    let (mut store, _) = Store::open(disk, SMALL).unwrap();
+    let mut truth = BTreeMap::new();
+    for commit in 0..commits {
+        let mut items: Vec<Item> = (0..5).map(|n| position(commit * 5 + n)).collect();
+        items.push(Item::Until { at: commit as i64 * 50 + 49 });
+        items.push(Item::Role { set: 3, server: format!("s{commit}"), at: commit as i64 });
+        store.commit(&items).unwrap();
+        for n in commit * 5..commit * 5 + 5 {
+            truth.insert(n % 97, n as i64 * 10);
+        }
+    }
+    (store, truth)
+}
+
+/// Nothing read back is higher than what was kept, and what is said to be all up to a time is all.
+fn holds(read: &leverpoint_store::Recovered, truth: &BTreeMap<u64, i64>, commits: u64) {
+    for (session, position) in &read.positions {
+        assert!(truth.get(session).is_some_and(|wrote| position <= wrote), "{session}");
+    }
+    for n in 0..commits * 5 {
+        if (n as i64 * 10) <= read.until && n as i64 / 5 * 50 + 49 <= read.until {
+            assert!(
+                read.positions.get(&(n % 97)).is_some_and(|held| *held >= n as i64 * 10),
+                "{n} {}",
+                read.until
+            );
+        }
+    }
+}
+
+#[test]
+fn all_that_was_committed_is_read_back_over_segments_and_lives() {
+    let (store, truth) = filled(Memory::default(), 400);
+    let (store, read) = Store::open(store.into_disk().crash(0.0), SMALL).unwrap();
+    assert_eq!(
+        (&read.positions, read.until, read.closed, read.torn.len()),
+        (&truth, 399 * 50 + 49, false, 0)
+    );
+    assert_eq!(read.roles[&3].0, "s399");
+    let mut disk = store.into_disk();
+    assert!(disk.list().unwrap().len() <= 2, "{:?}", disk.list());
+    for _ in 0..5 {
+        let (store, again) = Store::open(disk, SMALL).unwrap();
+        assert_eq!(again.positions, truth);
+        disk = store.into_disk();
+    }
+}
+
+#[test]
+fn a_log_cut_at_any_byte_of_its_last_four_kib_is_read_to_its_last_whole_record() {
+    let (store, truth) = filled(Memory::default(), 330);
+    let disk = store.into_disk();
+    let log = disk.files.keys().find(|name| name.starts_with("log-")).unwrap().clone();
+    let length = disk.files[&log].0.len();
+    let mut torn = 0;
+    for cut in length.saturating_sub(4_096)..=length {
+        let mut cut_disk = disk.clone();
+        cut_disk.files.get_mut(&log).unwrap().0.truncate(cut);
+        let (store, read) = Store::open(cut_disk, SMALL).unwrap();
+        holds(&read, &truth, 330);
+        torn += usize::from(!read.torn.is_empty());
+        // What follows on it is read back whole.
+        let (_, again) = Store::open(store.into_disk(), SMALL).unwrap();
+        assert_eq!((again.positions, again.torn.len()), (read.positions, 0));
+    }
+    assert!(torn > 1_000, "{torn}");
+}
+
+#[test]
+fn flipped_bits_are_found_wherever_they_are() {
+    let (store, truth) = filled(Memory::default(), 330);
+    let disk = store.into_disk();
+    let mut chance = Rng::with_seed(4);
+    for name in disk.files.keys() {
+        for _ in 0..1_500 {
+            let mut flipped = disk.clone();
+            let bytes = &mut flipped.files.get_mut(name).unwrap().0;
+            let at = chance.usize(..bytes.len());
+            bytes[at] ^= 1 << chance.u8(..8);
+            let (_, read) = Store::open(flipped, SMALL).unwrap();
+            holds(&read, &truth, 330);
+            assert!(!read.torn.is_empty() && !read.closed, "{name} {at}");
+        }
+    }
+}
+
+#[test]
+fn a_crash_at_any_moment_loses_no_commit_that_was_synced() {
+    let mut chance = Rng::with_seed(8);
+    for round in 0..200u64 {
+        let commits = chance.u64(1..300);
+        let (store, truth) = filled(Memory::default(), commits);
+        let mut disk = store.into_disk();
+        // A commit that was under way.
+        let log = disk.files.keys().filter(|n| n.starts_with("log-")).max().cloned();
+        if let Some(log) = log {
+            disk.append(&log, &chance.u64(..).to_be_bytes().repeat(chance.usize(1..9))).unwrap();
+        }
+        let (_, read) = Store::open(disk.crash(chance.f64()), SMALL).unwrap();
+        assert_eq!(read.positions, truth, "{round}");
+        assert_eq!(read.until, commits as i64 * 50 - 1);
+    }
+}
+
+#[test]
+fn a_full_or_read_only_disk_stops_the_store_and_harms_nothing_that_was_kept() {
+    for room in 0..400 {
+        let (store, truth) = filled(Memory::default(), 30);
+        let mut disk = store.into_disk();
+        disk.room = Some(room);
+        let Ok((mut store, _)) = Store::open(disk.clone(), SMALL) else {
+            disk.room = None;
+            assert_eq!(Store::open(disk.crash(1.0), SMALL).unwrap().1.positions, truth);
+            continue;
+        };
+        let failed = (0..40).any(|n| store.commit(&[position(150 + n)]).is_err());
+        assert!(!failed || store.commit(&[position(400)]).is_err(), "it goes on after a failure");
+        let (_, read) = Store::open(store.into_disk().crash(1.0), SMALL).unwrap();
+        truth.iter().for_each(|(session, at)| assert!(read.positions[session] >= *at));
+    }
+    let (store, _) = filled(Memory::default(), 3);
+    let mut disk = store.into_disk();
+    disk.read_only = true;
+    assert!(Store::open(disk, SMALL).is_err());
+}
+
+#[test]
+fn a_lost_rename_or_short_reads_claim_nothing_that_is_not_there() {
+    let (store, _) = filled(Memory::default(), 100);
+    let mut disk = store.into_disk();
+    disk.lost_renames = true;
+    let (mut store, _) = Store::open(disk, SMALL).unwrap();
+    store.commit(&[position(500), Item::Closed { at: 9_999 }]).unwrap();
+    let (_, read) = Store::open(store.into_disk().crash(1.0), SMALL).unwrap();
+    assert!(!read.closed && read.until < 9_999, "{read:?}");
+    let (store, truth) = filled(Memory::default(), 100);
+    let mut disk = store.into_disk();
+    disk.short_reads = true;
+    let read = Store::open(disk, SMALL).unwrap().1;
+    holds(&read, &truth, 100);
+    assert!(!read.torn.is_empty());
+}
+
+#[test]
+fn only_an_end_in_order_after_all_else_counts_as_closed() {
+    let (mut store, truth) = filled(Memory::default(), 50);
+    store.commit(&[Item::Closed { at: 3_000 }]).unwrap();
+    let (mut store, read) = Store::open(store.into_disk().crash(0.0), SMALL).unwrap();
+    assert_eq!((read.closed, read.until, &read.positions), (true, 3_000, &truth));
+    store.commit(&[position(900)]).unwrap();
+    assert!(!Store::open(store.into_disk().crash(0.0), SMALL).unwrap().1.closed);
+}
+
+#[test]
+fn a_folder_is_one_process_s_and_the_writer_keeps_what_it_took() {
+    let path = std::env::temp_dir().join(format!("leverpoint-store-{}", std::process::id()));
+    let open = || Folder::open(&path).map(|folder| Store::open(folder, Limits::default()).unwrap());
+    let (store, _) = open().unwrap();
+    assert!(open().is_err(), "a second one on the same folder");
+    let writer = Writer::start(store, Duration::from_millis(1));
+    let kept = writer.kept.clone();
+    assert!((0..3_000).all(|n| writer.keep(position(n))));
+    writer.close(77);
+    assert_eq!((kept.items.load(Relaxed), kept.dropped.load(Relaxed)), (3_001, 0));
+    let (_, read) = open().unwrap();
+    std::fs::remove_dir_all(&path).unwrap();
+    assert_eq!((read.closed, read.positions.len(), read.positions[&0]), (true, 97, 2_910 * 10));
+}
+
+#[test]
+fn frames_of_noise_are_torn_and_never_read_past_their_end() {
+    let mut chance = Rng::with_seed(6);
+    for _ in 0..20_000 {
+        let noise: Vec<u8> = (0..chance.usize(1..60)).map(|_| chance.u8(..)).collect();
+        assert!(matches!(parse(&noise, 1), Parsed::Torn));
+    }
+    let mut out = Vec::new();
+    put(&mut out, 1, &Item::Role { set: 1, server: "ü".repeat(400), at: 5 });
+    assert!(matches!(parse(&out, 1), Parsed::Item(Item::Role { .. }, _)));
+    assert_eq!(parse(&out, 2), Parsed::Torn, "another file's");
+}
+
+#[test]
+fn what_has_gone_for_want_of_room_every_session_may_have_written() {
+    let limits = Limits { positions: 50, ..SMALL };
+    let (mut store, _) = Store::open(Memory::default(), limits).unwrap();
+    for n in 1..2_000u64 {
+        store.commit(&[Item::Position { session: n, position: n as i64 }]).unwrap();
+    }
+    let (_, read) = Store::open(store.into_disk().crash(0.0), limits).unwrap();
+    let floor = read.positions[&leverpoint_store::ALL];
+    assert!(read.positions.len() <= 2 * 50 + 1_000, "{}", read.positions.len());
+    (1..2_000u64)
+        .for_each(|n| assert!(read.positions.get(&n).is_some_and(|at| *at >= n as i64) || floor >= n as i64));
+}
