--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -1,8 +1,9 @@
-//! Owns the command line of the experiments: `leverpoint-rig run slow`, `leverpoint-rig run sessions`.
+//! Owns the command line of the experiments: `leverpoint-rig run slow`, `sessions`, `price`.
 //!
 //! It plays and measures; what a figure is worth is said in docs/. It must never send anything beyond loopback.
 
 mod honest;
+mod price;
 mod record;
 mod report;
 mod sessions;
@@ -16,6 +17,7 @@
 enum Asked {
     Slow(slow::Asked),
     Sessions(sessions::Asked),
+    Price(sessions::Asked),
 }
 
 fn words() -> OptionParser<Asked> {
@@ -56,18 +58,21 @@
     let slow = slow.to_options().descr("Slow readers, writers and servers beside honest clients");
     let slow = slow.command("slow").map(Asked::Slow);
     let sessions = sessions_words().command("sessions").map(Asked::Sessions);
-    let run = construct!([slow, sessions]).to_options().descr("Plays an experiment").command("run");
+    let price = sessions_words().command("price").map(Asked::Price);
+    let run = construct!([slow, sessions, price]).to_options().descr("Plays an experiment").command("run");
     run.to_options().descr("Loads and experiments for leverpoint")
 }
 
 fn sessions_words() -> OptionParser<sessions::Asked> {
-    let mode = long("mode").help("How gateways know of writes: none, carried").argument::<String>("MODE");
+    let mode =
+        long("mode").help("How gateways know of writes: none, carried, disk").argument::<String>("MODE");
     let mode = mode.parse(|mode| match mode.as_str() {
-        "none" => Ok(false),
-        "carried" => Ok(true),
-        _ => Err("expected none or carried"),
+        "none" => Ok(sessions::Mode::None),
+        "carried" => Ok(sessions::Mode::Carried),
+        "disk" => Ok(sessions::Mode::Disk),
+        _ => Err("expected none, carried or disk"),
     });
-    let carried = mode.fallback(false);
+    let mode = mode.fallback(sessions::Mode::None);
     let tries =
         long("tries").help("Writes, each with its gateway's end").argument::<usize>("N").fallback(5_000);
     let short = long("short").help("400 tries").switch();
@@ -78,7 +83,7 @@
     let without = without.guard(|what| what == "sessions", "expected sessions").map(|_| true).fallback(false);
     let program = long("program").help("The gateway; else the one beside this program").argument("FILE");
     let program = program.optional();
-    let all = construct!(sessions::Asked { carried, tries, short, seed, out, without, program });
+    let all = construct!(sessions::Asked { mode, tries, short, seed, out, without, program });
     all.to_options().descr("A gateway is killed right after each write's answer, its session reads elsewhere")
 }
 
@@ -88,6 +93,8 @@
             .map(|line| (serde_json::to_string(&line).unwrap_or_default(), line.lost + line.wrong == 0)),
         Asked::Sessions(asked) => sessions::run(&asked)
             .map(|line| (serde_json::to_string(&line).unwrap_or_default(), line.missing + line.wrong == 0)),
+        Asked::Price(asked) => price::run(&asked)
+            .map(|line| (serde_json::to_string(&line).unwrap_or_default(), line.missing == 0)),
     };
     match line {
         Ok((line, kept)) => {
--- a/rig/src/sessions.rs
+++ b/rig/src/sessions.rs
@@ -25,10 +25,19 @@
 
 use crate::slow::SETTINGS;
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Nothing is shared.
+    None,
+    /// Clients carry tokens.
+    Carried,
+    /// Each gateway keeps what passes on a disk that lasts.
+    Disk,
+}
+
 #[derive(Clone, Debug)]
 pub struct Asked {
-    /// Clients carry tokens; else nothing is shared.
-    pub carried: bool,
+    pub mode: Mode,
     pub tries: usize,
     pub short: bool,
     pub seed: u64,
@@ -52,11 +61,11 @@
 
 /// Lanes play side by side, each with two gateways of its own on the same set.
 const LANES: usize = 6;
-const MEMBERS: usize = 4;
+pub const MEMBERS: usize = 4;
 /// Replication within a data centre, on the slow side.
-const BUILD: Build = Build { lag: 150, ..PLAIN };
-const WORK: Duration = Duration::from_millis(2);
-const PATIENCE: Duration = Duration::from_millis(2_000);
+pub const BUILD: Build = Build { lag: 150, ..PLAIN };
+pub const WORK: Duration = Duration::from_millis(2);
+pub const PATIENCE: Duration = Duration::from_millis(2_000);
 
 /// What one lane has measured.
 struct Record {
@@ -70,7 +79,7 @@
     set: &'a Set,
     program: &'a Path,
     known: &'a str,
-    operator: &'a str,
+    asked: &'a Asked,
     gateways: [Option<Gateway>; 2],
     record: Record,
     chance: Rng,
@@ -79,7 +88,7 @@
 }
 
 /// One answer, whole: its messages, up to ready.
-fn ask(stream: &mut TcpStream, text: &str) -> Option<Vec<u8>> {
+pub fn ask(stream: &mut TcpStream, text: &str) -> Option<Vec<u8>> {
     stream.write_all(&query(text)).ok()?;
     let mut heard = Vec::new();
     loop {
@@ -106,7 +115,8 @@
         // Another address each time: the one before may still be in the kernel's hands.
         let address = gateway::free_address();
         let text = gateway::config(&address, &agent.address, self.known, SETTINGS);
-        let words: &[&str] = if self.operator.is_empty() { &[] } else { &["--operator", self.operator] };
+        let operator = operator(self.asked, &format!("{}-{nth}", self.name)).expect("a file is written");
+        let words: &[&str] = if self.asked.without { &[] } else { &["--operator", &operator] };
         self.gateways[nth] = Some(gateway::start(&text, address, agent, self.program, words));
     }
 
@@ -198,6 +208,23 @@
     }
 }
 
+/// The operator's file of one gateway, and its folder where it keeps one.
+pub fn operator(asked: &Asked, gateway: &str) -> std::io::Result<String> {
+    std::fs::create_dir_all(&asked.out)?;
+    let number = "  number = \"8c1f30d27a5be964\"\n";
+    let more = match asked.mode {
+        Mode::None => String::new(),
+        Mode::Carried => format!("  keys   = [\"7:00112233445566778899aabbccddeeff\"]\n{number}"),
+        Mode::Disk => {
+            let folder = std::path::absolute(asked.out.join(format!("disk-{gateway}")))?;
+            format!("  disk   = \"{}\"\n{number}", folder.display())
+        }
+    };
+    let file = asked.out.join(format!("sessions-{gateway}.hcl"));
+    std::fs::write(&file, format!("sessions {{\n  follow = true\n{more}}}\n"))?;
+    Ok(file.display().to_string())
+}
+
 pub fn run(asked: &Asked) -> Result<Figures, String> {
     let beside = std::env::current_exe().map_err(|e| e.to_string())?.with_file_name("leverpoint");
     let program = asked.program.clone().unwrap_or(beside);
@@ -213,12 +240,6 @@
         .map(|(n, m)| target(&format!("s{n}"), &m.address, "up", mode(m)))
         .collect();
     let known = list(7, true, &targets);
-    std::fs::create_dir_all(&asked.out).map_err(|e| e.to_string())?;
-    let file = asked.out.join("sessions.hcl");
-    let keys = "  keys   = [\"7:00112233445566778899aabbccddeeff\"]\n  number = \"8c1f30d27a5be964\"\n";
-    let words = format!("sessions {{\n  follow = true\n{}}}\n", if asked.carried { keys } else { "" });
-    std::fs::write(&file, words).map_err(|e| e.to_string())?;
-    let operator = if asked.without { String::new() } else { file.display().to_string() };
     let tries = if asked.short { asked.tries.min(400) } else { asked.tries };
     let (next, over) = (AtomicUsize::new(0), AtomicBool::new(false));
     let lane = |name: usize| {
@@ -227,8 +248,7 @@
         let chance = Rng::with_seed(asked.seed * 100 + name as u64);
         let (set, program): (&Set, &Path) = (&set, &program);
         let gateways = [None, None];
-        let mut lane =
-            Lane { set, program, known: &known, operator: &operator, gateways, record, chance, name, ids: 0 };
+        let mut lane = Lane { set, program, known: &known, asked, gateways, record, chance, name, ids: 0 };
         (0..2).for_each(|nth| lane.start(nth));
         loop {
             let nth = next.fetch_add(1, Relaxed);
