Read once more: the experiments share one stage, unused parts of sessions and store go

Need: price and sessions of the rig each started gateways, connections and sets their own way, the gateway's test a third time; the notice's detail was read twice; three functions were called by nobody, two comments spoke of what is not there.

Behaviour unchanged.

--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -174,11 +174,15 @@
 }
 
 impl Order {
+    /// The book of sessions and the session, where they are followed and this is of one.
+    fn followed(&self) -> Option<(&Ledger, &Of)> {
+        self.exchange.sessions.as_ref().zip(self.of.as_ref())
+    }
+
     /// The row is whole: the client need not wait for what else the server says, unless that tells whether the row
     /// stands for what its session must see, or which token goes with it.
     pub fn row_is_whole(&self, row: Row) {
-        let ledger = self.exchange.sessions.as_ref().zip(self.of.as_ref());
-        if let Some((ledger, of)) = ledger {
+        if let Some((ledger, of)) = self.followed() {
             ledger.row_is_whole(of, self.exchange.clock.now());
             if ledger.waits_for_word(of) {
                 self.kept.replace(Some(row));
@@ -191,7 +195,7 @@
     /// The server is ready again behind a row, and has said this of itself: what the dispatch has come to.
     pub fn said_all(&self, said: Spoken) -> Ending {
         let Some(mut row) = self.kept.take() else { return Ending::Answered };
-        if let Some((ledger, of)) = self.exchange.sessions.as_ref().zip(self.of.as_ref()) {
+        if let Some((ledger, of)) = self.followed() {
             let word = self.exchange.word(Some(said), of.write);
             if !ledger.covers(of, self.exchange.clock.now(), word) {
                 return Ending::Missed;
--- a/exchange/src/sessions.rs
+++ b/exchange/src/sessions.rs
@@ -7,7 +7,7 @@
 use leverpoint::interface::{Ending, Need, Tenths, Word};
 use leverpoint_facts::operator::Follow;
 use leverpoint_ground::{plant, unix};
-use leverpoint_sessions::{Book, Counts, Debt, Keys, Record, Token, number};
+use leverpoint_sessions::{Book, Debt, Keys, Record, Token, number};
 
 /// The session of one command.
 #[derive(Clone, Copy, Debug)]
@@ -150,10 +150,6 @@
         }
     }
 
-    pub fn counts(&self) -> Counts {
-        self.book.borrow().counts
-    }
-
     /// One line of names and counts.
     pub fn line(&self) -> String {
         let book = self.book.borrow();
--- a/gateway/tests/sessions.rs
+++ b/gateway/tests/sessions.rs
@@ -6,8 +6,8 @@
 use leverpoint_emulator::set::Build;
 use leverpoint_stands::agent::agent;
 use leverpoint_stands::gateway::{self, Gateway};
-use leverpoint_stands::member::{Member, PLAIN, Set};
-use leverpoint_stands::wire::{http, list, target};
+use leverpoint_stands::member::{Member, PLAIN, Set, serving};
+use leverpoint_stands::wire::http;
 
 const SETTINGS: &str = r#"{"balancers": 1, "me": 0, "tickMs": 5.0, "zone": 0, "zones": ["a"], "discovery": "pushed",
     "contract": {"answerSlackMs": 20.0, "coldMs": 9000.0, "fallMs": 1500.0, "fallMultiple": 2.5, "startCapacity": 0.2,
@@ -24,15 +24,7 @@
 
 /// A set whose replicas are ten minutes behind, so that only its primary has what was written just now.
 fn set() -> (std::sync::Arc<Set>, Vec<Member>, String) {
-    let set = Set::new(Build { lag: 6_000_000, ..PLAIN }, 3);
-    let members: Vec<_> = (0..3).map(|n| Member::start(&set, n, Duration::from_millis(1))).collect();
-    let mode = |m: &Member| if m.primary { "read-write" } else { "read-only" };
-    let targets: Vec<_> = members
-        .iter()
-        .enumerate()
-        .map(|(n, m)| target(&format!("s{n}"), &m.address, "up", mode(m)))
-        .collect();
-    (set, members, list(7, true, &targets))
+    serving(Build { lag: 6_000_000, ..PLAIN }, 3, Duration::from_millis(1))
 }
 
 fn start(known: &str, operator: &Path) -> Gateway {
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -8,6 +8,7 @@
 mod report;
 mod sessions;
 mod slow;
+mod stage;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/rig/src/price.rs
+++ b/rig/src/price.rs
@@ -3,25 +3,22 @@
 //!
 //! It must never restart anything but what it started, or judge a read by what a gateway says of it.
 
-use std::path::PathBuf;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
-use leverpoint_stands::agent::agent;
 use leverpoint_stands::client::judged;
 use leverpoint_stands::crowd::Judged;
-use leverpoint_stands::gateway::{self, Gateway};
-use leverpoint_stands::member::{Made, Member, Set};
+use leverpoint_stands::gateway::Gateway;
+use leverpoint_stands::member::{Made, Set, serving};
 use leverpoint_stands::values::made;
-use leverpoint_stands::wire::{STARTUP, http, list, message, target};
 use plotters::prelude::*;
 use serde::Serialize;
 
-use crate::sessions::{Asked, BUILD, MEMBERS, PATIENCE, WORK, ask, operator};
-use crate::slow::SETTINGS;
+use crate::sessions::{Asked, BUILD, MEMBERS, WORK};
+use crate::stage;
 
 /// Shares of session reads at the primary, in the five seconds from each event on.
 #[derive(Debug, Default, Serialize)]
@@ -46,25 +43,6 @@
 /// When a read was asked, how it was made, how long it took.
 type Row = (f64, Made, f64);
 
-fn start(asked: &Asked, program: &std::path::Path, known: &str, nth: usize) -> Gateway {
-    let agent = agent();
-    let _ = agent.say.send(http(known));
-    let address = gateway::free_address();
-    let text = gateway::config(&address, &agent.address, known, SETTINGS);
-    let operator = operator(asked, &format!("price-{nth}")).expect("a file is written");
-    let words: &[&str] = if asked.without { &[] } else { &["--operator", &operator] };
-    gateway::start(&text, address, agent, program, words)
-}
-
-fn connect(address: &str) -> Option<std::net::TcpStream> {
-    let mut stream = std::net::TcpStream::connect(address).ok()?;
-    stream.set_read_timeout(Some(PATIENCE * 2)).ok()?;
-    stream.set_nodelay(true).ok()?;
-    std::io::Write::write_all(&mut stream, STARTUP).ok()?;
-    while message(&mut stream)?.0 != b'Z' {}
-    Some(stream)
-}
-
 /// A player: a report, then looks at it, now and then, always through the same gateway.
 fn player(
     n: usize,
@@ -80,7 +58,7 @@
         sleep(Duration::from_millis(chance.u64(20..120)));
         let address = addresses[n % GATEWAYS].lock().map(|a| a.clone()).unwrap_or_default();
         if line.as_ref().is_none_or(|(to, _)| *to != address) {
-            line = connect(&address).map(|stream| (address, stream));
+            line = stage::connect(&address).map(|stream| (address, stream));
         }
         let Some((_, stream)) = &mut line else { continue };
         ids += 1;
@@ -98,7 +76,7 @@
             )
         };
         let asked = Instant::now();
-        let Some(heard) = ask(stream, &text) else {
+        let Some(heard) = stage::ask(stream, &text) else {
             line = None;
             continue;
         };
@@ -112,21 +90,10 @@
 }
 
 pub fn run(asked: &Asked) -> Result<Figures, String> {
-    let beside = std::env::current_exe().map_err(|e| e.to_string())?.with_file_name("leverpoint");
-    let program: PathBuf = asked.program.clone().unwrap_or(beside);
-    if !program.is_file() {
-        return Err(format!("no gateway at {}: build it, or name it with --program", program.display()));
-    }
-    let set = Set::new(BUILD, MEMBERS);
-    let members: Vec<_> = (0..MEMBERS).map(|n| Member::start(&set, n, WORK)).collect();
-    let mode = |m: &Member| if m.primary { "read-write" } else { "read-only" };
-    let targets: Vec<_> = members
-        .iter()
-        .enumerate()
-        .map(|(n, m)| target(&format!("s{n}"), &m.address, "up", mode(m)))
-        .collect();
-    let known = list(7, true, &targets);
-    let mut gateways: Vec<Gateway> = (0..GATEWAYS).map(|n| start(asked, &program, &known, n)).collect();
+    let program = stage::program(&asked.program)?;
+    let (set, _members, known) = serving(BUILD, MEMBERS, WORK);
+    let mut gateways: Vec<Gateway> =
+        (0..GATEWAYS).map(|n| stage::start(asked, &program, &known, &format!("price-{n}"))).collect();
     let addresses: Vec<Mutex<String>> = gateways.iter().map(|g| Mutex::new(g.address.clone())).collect();
     let (over, began) = (AtomicBool::new(false), Instant::now());
     let (rows, missing) = thread::scope(|scope| {
@@ -137,7 +104,7 @@
             sleep(Duration::from_secs(at).saturating_sub(began.elapsed()));
             for n in 0..many {
                 // In place of the one before, which is killed.
-                gateways[n] = start(asked, &program, &known, n);
+                gateways[n] = stage::start(asked, &program, &known, &format!("price-{n}"));
                 if let Ok(mut address) = addresses[n].lock() {
                     address.clone_from(&gateways[n].address);
                 }
--- a/rig/src/sessions.rs
+++ b/rig/src/sessions.rs
@@ -3,8 +3,6 @@
 //!
 //! It must never count a read as complete by what the gateway says of it: the set knows what each row was made from.
 
-use std::io::Write as _;
-use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
@@ -14,16 +12,14 @@
 use fastrand::Rng;
 use hdrhistogram::Histogram;
 use leverpoint_emulator::set::Build;
-use leverpoint_stands::agent::agent;
-use leverpoint_stands::client::judged;
+use leverpoint_stands::client::{judged, noticed};
 use leverpoint_stands::crowd::Judged;
-use leverpoint_stands::gateway::{self, Gateway};
-use leverpoint_stands::member::{Member, PLAIN, Set};
+use leverpoint_stands::gateway::Gateway;
+use leverpoint_stands::member::{PLAIN, Set, serving};
 use leverpoint_stands::values::made;
-use leverpoint_stands::wire::{STARTUP, http, list, message, put, query, target};
 use serde::Serialize;
 
-use crate::slow::SETTINGS;
+use crate::stage;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -87,46 +83,10 @@
     ids: usize,
 }
 
-/// One answer, whole: its messages, up to ready.
-pub fn ask(stream: &mut TcpStream, text: &str) -> Option<Vec<u8>> {
-    stream.write_all(&query(text)).ok()?;
-    let mut heard = Vec::new();
-    loop {
-        let (tag, body) = message(stream)?;
-        put(&mut heard, tag, &body);
-        if tag == b'Z' {
-            return Some(heard);
-        }
-    }
-}
-
-/// The token in the notice before an answer.
-fn token(heard: &[u8]) -> Option<String> {
-    let mut rest = heard;
-    let (tag, body) = message(&mut rest)?;
-    let field = body.split(|b| *b == 0).find(|f| f.first() == Some(&b'D'));
-    field.filter(|_| tag == b'N').map(|f| String::from_utf8_lossy(&f[1..]).into_owned())
-}
-
 impl Lane<'_> {
     fn start(&mut self, nth: usize) {
-        let agent = agent();
-        let _ = agent.say.send(http(self.known));
-        // Another address each time: the one before may still be in the kernel's hands.
-        let address = gateway::free_address();
-        let text = gateway::config(&address, &agent.address, self.known, SETTINGS);
-        let operator = operator(self.asked, &format!("{}-{nth}", self.name)).expect("a file is written");
-        let words: &[&str] = if self.asked.without { &[] } else { &["--operator", &operator] };
-        self.gateways[nth] = Some(gateway::start(&text, address, agent, self.program, words));
-    }
-
-    fn connect(&self, nth: usize) -> Option<TcpStream> {
-        let mut stream = TcpStream::connect(&self.gateways[nth].as_ref()?.address).ok()?;
-        stream.set_read_timeout(Some(PATIENCE * 2)).ok()?;
-        stream.set_nodelay(true).ok()?;
-        stream.write_all(STARTUP).ok()?;
-        while message(&mut stream)?.0 != b'Z' {}
-        Some(stream)
+        let name = format!("{}-{nth}", self.name);
+        self.gateways[nth] = Some(stage::start(self.asked, self.program, self.known, &name));
     }
 
     fn id(&mut self) -> String {
@@ -134,7 +94,7 @@
         format!("l{}n{}", self.name, self.ids)
     }
 
-    /// Sends a command until it is answered or its time is over; what was heard, its id and how long it took.
+    /// Sends a command until it is answered or its time is over; what was heard, and its id.
     fn command(
         &mut self,
         nth: usize,
@@ -145,7 +105,10 @@
         while Instant::now() < ends {
             let id = self.id();
             let left = ends.saturating_duration_since(Instant::now()).as_millis().max(1);
-            let Some(heard) = self.connect(nth).and_then(|mut stream| ask(&mut stream, &text(&id, left)))
+            let Some(heard) = self.gateways[nth]
+                .as_ref()
+                .and_then(|gateway| stage::connect(&gateway.address))
+                .and_then(|mut stream| stage::ask(&mut stream, &text(&id, left)))
             else {
                 thread::sleep(Duration::from_millis(5));
                 continue;
@@ -201,7 +164,7 @@
         };
         // Killed outright: the guard's drop sends SIGKILL and waits for its end.
         self.gateways[writer] = None;
-        let token = token(&heard);
+        let token = noticed(&heard);
         self.read(1 - writer, &session, token.as_deref());
         self.start(writer);
         self.read(writer, &session, token.as_deref());
@@ -226,20 +189,8 @@
 }
 
 pub fn run(asked: &Asked) -> Result<Figures, String> {
-    let beside = std::env::current_exe().map_err(|e| e.to_string())?.with_file_name("leverpoint");
-    let program = asked.program.clone().unwrap_or(beside);
-    if !program.is_file() {
-        return Err(format!("no gateway at {}: build it, or name it with --program", program.display()));
-    }
-    let set = Set::new(BUILD, MEMBERS);
-    let members: Vec<_> = (0..MEMBERS).map(|n| Member::start(&set, n, WORK)).collect();
-    let mode = |m: &Member| if m.primary { "read-write" } else { "read-only" };
-    let targets: Vec<_> = members
-        .iter()
-        .enumerate()
-        .map(|(n, m)| target(&format!("s{n}"), &m.address, "up", mode(m)))
-        .collect();
-    let known = list(7, true, &targets);
+    let program = stage::program(&asked.program)?;
+    let (set, _members, known) = serving(BUILD, MEMBERS, WORK);
     let tries = if asked.short { asked.tries.min(400) } else { asked.tries };
     let (next, over) = (AtomicUsize::new(0), AtomicBool::new(false));
     let lane = |name: usize| {
--- a/rig/src/slow.rs
+++ b/rig/src/slow.rs
@@ -12,14 +12,15 @@
 use leverpoint_stands::agent::agent;
 use leverpoint_stands::crowd::{Asks, Crowd, Habit, Seen};
 use leverpoint_stands::gateway::{self, Gateway};
-use leverpoint_stands::member::{Member, PLAIN, Set};
+use leverpoint_stands::member::{Member, PLAIN, Set, serving};
 use leverpoint_stands::pace::Pace;
-use leverpoint_stands::wire::{http, list, target};
+use leverpoint_stands::wire::http;
 use serde::Serialize;
 
 use crate::honest::{Honest, Line};
 use crate::record::Record;
 use crate::report;
+use crate::stage;
 
 #[derive(Clone, Debug)]
 pub struct Asked {
@@ -93,23 +94,9 @@
 }
 
 fn set_up(asked: &Asked) -> Result<Stage, String> {
-    let beside = std::env::current_exe().map_err(|e| e.to_string())?.with_file_name("leverpoint");
-    let program = asked.program.clone().unwrap_or(beside);
-    if !program.is_file() {
-        return Err(format!("no gateway at {}: build it, or name it with --program", program.display()));
-    }
-    let many = 3 + asked.tricklers;
-    let set = Set::new(PLAIN, many);
-    let members: Vec<_> = (0..many).map(|n| Member::start(&set, n, WORK)).collect();
-    let targets: Vec<_> = members
-        .iter()
-        .enumerate()
-        .map(|(n, m)| {
-            target(&format!("s{n}"), &m.address, "up", if m.primary { "read-write" } else { "read-only" })
-        })
-        .collect();
+    let program = stage::program(&asked.program)?;
+    let (set, members, known) = serving(PLAIN, 3 + asked.tricklers, WORK);
     let (agent, address) = (agent(), gateway::free_address());
-    let known = list(7, true, &targets);
     let text = gateway::config(&address, &agent.address, &known, SETTINGS)
         .replace("\"memory_mb\":192", &format!("\"memory_mb\":{}", asked.memory_mb))
         .replace("\"sockets\":1024", &format!("\"sockets\":{}", asked.sockets));
--- a/sessions/src/book.rs
+++ b/sessions/src/book.rs
@@ -70,7 +70,6 @@
     chance: Rng,
     /// What the epoch began with: every session owes it, until it is known exactly from before.
     floor: Tenths,
-    /// A whole epoch before is known up to its end: its positions, where nothing was lost.
     pub counts: Counts,
     /// Positions to be kept, until they are taken.
     records: Vec<Record>,
@@ -288,8 +287,4 @@
     pub fn bytes(&self) -> usize {
         self.index.bytes() + self.sketch.bytes()
     }
-
-    pub fn needs(&self, set: usize) -> Tenths {
-        self.price.needs(set)
-    }
 }
--- a/sessions/src/price.rs
+++ b/sessions/src/price.rs
@@ -82,7 +82,7 @@
         now + wanted.min((most as f64 * spread / 1.25) as Tenths).max(0)
     }
 
-    /// A read of an instant was answered by a replica so long after it came; it had `held` of that to wait.
+    /// A read of an instant was answered by a replica so long after it came.
     pub fn covered(&mut self, set: usize, now: Tenths, after: Tenths) {
         let s = self.set(set, now);
         // Up at once, down by an eighth: a wait too short costs the primary a read, one too long a little time.
--- a/sim/src/play.rs
+++ b/sim/src/play.rs
@@ -15,7 +15,7 @@
 use leverpoint_facts::operator::{self, Operator};
 use leverpoint_gateway::serve::Gateway;
 use leverpoint_ground::{Instant, Listener, Stream, now, set_world, sleep, sleep_until, timeout_at};
-use leverpoint_stands::client::judged;
+use leverpoint_stands::client::{judged, noticed};
 use leverpoint_stands::crowd::Judged;
 use leverpoint_stands::member::{named, refusal};
 use leverpoint_stands::values::{length_of, made};
@@ -510,7 +510,7 @@
                         let worth =
                             if took <= facts.target { facts.benefit } else { facts.benefit * facts.late };
                         self.benefit.set(self.benefit.get() + worth);
-                        if let Some(token) = token_of(&heard) {
+                        if let Some(token) = noticed(&heard) {
                             self.carried.borrow_mut().insert(n, token);
                         }
                         if matches!(ask.group, Group::Report | Group::Order) {
@@ -758,18 +758,6 @@
     Vec::new()
 }
 
-/// The token in the notice before an answer.
-fn token_of(heard: &[u8]) -> Option<String> {
-    let mut rest = heard;
-    while let Some((tag, body)) = leverpoint_stands::wire::message(&mut rest) {
-        if tag == b'N' {
-            let field = body.split(|b| *b == 0).find(|f| f.first() == Some(&b'D'))?;
-            return Some(String::from_utf8_lossy(&field[1..]).into_owned());
-        }
-    }
-    None
-}
-
 /// Plays a script to its end, or to the first broken rule.
 pub fn play(scenario: &Scenario, script: &Script, seed: u64, base: Instant, traced: bool) -> Played {
     let sim = Sim::new(seed, base, LATENCY, traced);
--- a/stands/src/client.rs
+++ b/stands/src/client.rs
@@ -44,6 +44,18 @@
     }
 }
 
+/// The detail of the notice before an answer.
+pub fn noticed(heard: &[u8]) -> Option<String> {
+    let mut rest = heard;
+    while let Some((tag, body)) = message(&mut rest) {
+        if tag == b'N' {
+            let field = body.split(|b| *b == 0).find(|f| f.first() == Some(&b'D'))?;
+            return Some(String::from_utf8_lossy(&field[1..]).into_owned());
+        }
+    }
+    None
+}
+
 /// What an answer, from its first byte up to ReadyForQuery, is to the client that is owed this value.
 pub fn judged(heard: &[u8], owed: &[u8]) -> Judged {
     let mut rest = heard;
--- a/stands/src/member.rs
+++ b/stands/src/member.rs
@@ -15,7 +15,7 @@
 
 use crate::pace::{Pace, write_paced};
 use crate::values::{length_of, made};
-use crate::wire::{READ, WRITTEN, message, put, row_of, unix_ms};
+use crate::wire::{READ, WRITTEN, list, message, put, row_of, target, unix_ms};
 
 /// A set with no lag, no queue that binds and no cold start, whose keyed repeats are dropped for three seconds.
 pub const PLAIN: Build = Build {
@@ -197,6 +197,16 @@
     }
 }
 
+/// A set that serves: its members, and the list that names them.
+pub fn serving(build: Build, many: usize, work: Duration) -> (Arc<Set>, Vec<Member>, String) {
+    let set = Set::new(build, many);
+    let members: Vec<_> = (0..many).map(|n| Member::start(&set, n, work)).collect();
+    let mode = |m: &Member| if m.primary { "read-write" } else { "read-only" };
+    let named = |(n, m): (usize, &Member)| target(&format!("s{n}"), &m.address, "up", mode(m));
+    let targets: Vec<_> = members.iter().enumerate().map(named).collect();
+    (set, members, list(7, true, &targets))
+}
+
 /// One name's value in a statement's comment.
 pub fn named<'a>(text: &'a str, name: &str) -> Option<&'a str> {
     let comment = text.rsplit_once("/* ")?.1.strip_suffix(" */")?;
--- a/store/src/log.rs
+++ b/store/src/log.rs
@@ -255,10 +255,6 @@
         Ok(())
     }
 
-    pub fn held(&self) -> &Recovered {
-        &self.held
-    }
-
     pub fn into_disk(self) -> D {
         self.disk
     }
