--- a/exchange/src/sessions.rs
+++ b/exchange/src/sessions.rs
@@ -101,7 +101,7 @@
         if plant("token-forged") {
             return Some(1);
         }
-        self.keys.read(text, session)
+        Token::read(&self.keys, text, session)
     }
 
     /// Whether the row of this command is kept until the server has said its role and position.
@@ -126,7 +126,7 @@
     /// The token for a write that was answered at that position.
     pub fn token(&self, of: &Of, word: Option<Word>) -> Option<String> {
         let position = word?.position?;
-        of.write.then(|| self.keys.sign(&Token { session: of.session, position })).flatten()
+        of.write.then(|| Token { session: of.session, position }.sign(&self.keys)).flatten()
     }
 
     /// A dispatch has ended.
--- a/sessions/src/lib.rs
+++ b/sessions/src/lib.rs
@@ -17,9 +17,10 @@
 pub use index::{Entry, Index};
 pub use knowledge::{Known, Owes, Seen, step};
 pub use leverpoint::interface::Tenths;
+pub use leverpoint_seal::{Key, Keys};
 pub use price::Price;
 pub use sketch::Sketch;
-pub use token::{Key, Keys, LENGTH, Token};
+pub use token::{LENGTH, Token};
 
 /// The number of a session: of its set and its key. `secret` keeps clients from choosing two that share one.
 pub fn number(secret: u64, set: u16, key: &str) -> u64 {
--- a/sessions/tests/sessions.rs
+++ b/sessions/tests/sessions.rs
@@ -192,26 +192,26 @@
 fn only_a_token_of_its_own_session_under_a_held_key_is_one() {
     let key = |number, byte| Key { number, secret: vec![byte; 16] };
     let (old, new) = (Keys::new(vec![key(1, 7)]), Keys::new(vec![key(2, 8), key(1, 7)]));
-    let text = old.sign(&Token { session: 5, position: 77 }).unwrap();
-    assert_eq!((old.read(&text, 5), new.read(&text, 5)), (Some(77), Some(77)));
-    assert_eq!(old.read(&text, 6), None, "another session's");
-    assert_eq!(Keys::new(vec![key(2, 8)]).read(&text, 5), None, "a key that has gone");
+    let text = Token { session: 5, position: 77 }.sign(&old).unwrap();
+    assert_eq!((Token::read(&old, &text, 5), Token::read(&new, &text, 5)), (Some(77), Some(77)));
+    assert_eq!(Token::read(&old, &text, 6), None, "another session's");
+    assert_eq!(Token::read(&Keys::new(vec![key(2, 8)]), &text, 5), None, "a key that has gone");
     assert_eq!(
-        old.read(&new.sign(&Token { session: 5, position: 77 }).unwrap(), 5),
+        Token::read(&old, &Token { session: 5, position: 77 }.sign(&new).unwrap(), 5),
         None,
         "a key not held yet"
     );
-    assert_eq!(Keys::default().sign(&Token { session: 5, position: 77 }), None);
+    assert_eq!(Token { session: 5, position: 77 }.sign(&Keys::default()), None);
     for at in 0..text.len() {
         for byte in *b"Ax_" {
             let mut forged = text.clone().into_bytes();
             if std::mem::replace(&mut forged[at], byte) != byte {
                 // The last digit's low bits say nothing, and are refused unless they are as they were.
-                assert_eq!(old.read(std::str::from_utf8(&forged).unwrap(), 5), None, "{at}");
+                assert_eq!(Token::read(&old, std::str::from_utf8(&forged).unwrap(), 5), None, "{at}");
             }
         }
     }
-    assert_eq!((old.read("", 5), old.read(&text[1..], 5)), (None, None));
+    assert_eq!((Token::read(&old, "", 5), Token::read(&old, &text[1..], 5)), (None, None));
 }
 
 #[test]
