Silence of some servers no longer leaves idle others without work

From 15 s on 1,820 in five seconds, most of them reads with no dispatch, beside replicas with nothing in flight and of usual speed: 'g0 set14 wait637 typ230 disp0 [x100/0 x100/0 Px90/1] ends[175,22] [194,18]' (x: no room; 100: as usual; 0: in flight; ends: tenths of dispatches, and of bad ones, at primaries and replicas). Time-outs and failed connects at the lost and cut-off zone read as a shortage (room's scarce, 1.0 at a tenth), which bars groups of little benefit everywhere; and they thinned the overflow to sound primaries. Lines at fault: account's ends.

Changed: a second bad end in a row at a server that says nothing takes the first back; all count once it is heard, unless it was silent. Such a primary gets no overflow. The cold budget goes by the warm servers that there were, at 0.6 of what pushes one over.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -163,6 +163,8 @@
     quiet: Option<Tenths>,
     /// Time-outs since then.
     mute: u32,
+    /// Ends since then that were late if it was there all the while.
+    late: u32,
     slowness: Histogram,
     depth: Histogram,
     errors: u32,
@@ -243,7 +245,7 @@
     armed: bool,
     halved: Tenths,
     swept: Tenths,
-    /// Work answered by warm servers, in tenths of a millisecond, and over what time; both fade.
+    /// Work answered by warm servers, in tenths of a millisecond, and over what time of a server of size 1; both fade.
     warm_work: f64,
     warm_span: f64,
     /// Listed size of the servers that are ready and warm.
@@ -421,9 +423,22 @@
         s.owing = s.owing.filter(|_| s.in_flight > 0);
         let measured = matches!(e.ending, Ending::Answered | Ending::TimedOut);
         // A primary without a connection or a place to spare is short of them for writes as well.
+        let unheard = s.heard <= sent.sent;
         if measured || (role == 0 && matches!(e.ending, Ending::NotConnected | Ending::Full)) {
-            self.ends[role][0] += 1.0;
-            self.ends[role][1] += f64::from(u8::from(e.ending != Ending::Answered));
+            // One that says nothing may be gone, which is no shortage: a second in a row takes the first back, and all of
+            // them count once the server is heard again. Guards against idle servers left out because others are gone.
+            // Harm: where a quiet gateway's server is merely busy, that is learned late.
+            let late = e.ending != Ending::Answered;
+            let mute = late && unheard && e.ending != Ending::Full;
+            s.late += u32::from(mute);
+            let counts = match s.late {
+                2 if mute => -1.0,
+                3.. if mute => 0.0,
+                _ => 1.0,
+            };
+            let [all, bad] = &mut self.ends[role];
+            *all = (*all + counts).max(0.0);
+            *bad = (*bad + if late { counts } else { 0.0 }).max(0.0);
         }
         if measured {
             // What was waited for in vain is a measure too, if only of the least. Twelve of a server: enough
@@ -431,7 +446,6 @@
             s.slowness.note(e.took * 100 / typical, 12);
             alike.note(e.took * 100 / typical, 12);
         }
-        let unheard = s.heard <= sent.sent;
         match e.ending {
             Ending::Answered => {
                 self.groups[group].note(e.took);
@@ -493,7 +507,10 @@
         let Some(s) = self.servers.get_mut(server) else { return };
         s.heard = now;
         s.owing = s.owing.max(Some(now)).filter(|_| s.in_flight > 0);
-        (s.quiet, s.mute) = (None, 0);
+        // What was taken back counts after all, unless it had fallen silent.
+        let late = if s.silent || s.late < 2 { 0.0 } else { f64::from(s.late) };
+        (s.quiet, s.mute, s.late) = (None, 0, 0);
+        self.ends[self.sets[s.set].role(server)].iter_mut().for_each(|n| *n += late);
         if s.silent || s.skipped_till <= now {
             (s.silent, s.suspect, s.skipped_till) = (false, false, now);
         }
@@ -572,7 +589,7 @@
         }
         let s = &mut self.servers[e.server];
         if e.started > s.started {
-            (s.started, s.skipped_till, s.behind_till, s.suspect) = (e.started, 0, 0, false);
+            (s.started, s.skipped_till, s.behind_till, s.suspect, s.late) = (e.started, 0, 0, false, 0);
             // A debt by chance of up to a usual command: not one from every gateway at once.
             let usual = self.groups.iter().map(|g| g.typical as f64).sum::<f64>() / self.groups.len() as f64;
             (s.budget, s.budget_at) = (-usual * self.rng.f64(), now);
@@ -650,7 +667,8 @@
             self.halved = now;
             // Over some twenty seconds: what a fleet in trouble answers says little of what servers can take.
             self.warm_work *= 0.95;
-            self.warm_span = self.warm_span * 0.95 + 10_000.0;
+            // By the servers that there were then: those that are left do not get the work of those that went.
+            self.warm_span = self.warm_span * 0.95 + 10_000.0 * self.warm_size;
             self.ends = self.ends.map(|ends| ends.map(|n| n * 0.8));
             self.came.iter_mut().for_each(|n| *n *= 0.7);
             self.weigh();
@@ -676,6 +694,10 @@
     fn weigh(&mut self) {
         let live = (0..self.servers.len()).filter_map(|m| self.live(m));
         self.warm_size = live.filter(|s| self.coldness(s).is_none()).map(|s| s.size).sum();
+        if self.warm_work == 0.0 {
+            // As if two seconds had passed, so that the first answers are not taken for what goes on.
+            self.warm_span = self.warm_span.max(20_000.0 * self.warm_size);
+        }
         self.best = self.groups.iter().map(Group::density).fold(f64::MIN_POSITIVE, f64::max);
     }
 
@@ -860,7 +882,8 @@
         let unsure = owed.is_some() && self.facts.check == Check::None && s.word_at.is_none();
         let [all, late] = self.ends[0];
         let spared = self.cmds[cmd].luck > (1.0 - late / (all + 4.0)).powi(8);
-        (!unsure && !spared && self.room(cmd, p)).then_some(p)
+        // One that has twice in a row said nothing, or had no connection to spare, is left to writes.
+        (!unsure && !spared && s.late < 2 && self.room(cmd, p)).then_some(p)
     }
 
     /// The primary as last said; while it is unknown, the members in turn, each asked once in a while.
@@ -959,7 +982,9 @@
 
     fn cold_budget(&self, s: &Server) -> Option<f64> {
         let part = self.coldness(s)?;
-        let rate = self.warm_work / self.warm_span * s.size / self.warm_size.max(s.size) * part;
+        // 0.6 of what pushes it over: warm ones mostly answer less than they can, and one that gets less than it can do
+        // warms up later.
+        let rate = self.warm_work / self.warm_span * s.size * part * self.facts.guard.fall_multiple * 0.6;
         let burst = rate * self.facts.guard.fall_time as f64 / 4.0;
         Some((s.budget + rate * (self.now - s.budget_at) as f64).min(burst))
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -139,6 +139,10 @@
         self.take(&format!("dispatch {cmd}.{nth} at {server}: {ending:?}"), &Input::Ended(end));
     }
 
+    pub fn hang_up(&mut self, cmd: usize) {
+        self.take(&format!("command {cmd}: its client goes"), &Input::HungUp(cmd));
+    }
+
     /// Another gateway says that this server has just said it is the primary.
     pub fn told(&mut self, server: usize) {
         let claim = Claim { server, at: self.now };
