leverpoint-sim: scenario zone-returns, many quiet gateways and a zone that returns cold

Changed: scenarios may have zones; zone_lost takes one with all in it, its machines start one after the other.

--- a/sim/src/play.rs
+++ b/sim/src/play.rs
@@ -45,7 +45,7 @@
     usual_work: 150,
 };
 
-const SETTINGS: &str = r#"{"balancers": GATEWAYS, "me": ME, "tickMs": 5.0, "zone": 0, "zones": ["a"], "discovery": "pushed",
+const SETTINGS: &str = r#"{"balancers": GATEWAYS, "me": ME, "tickMs": 5.0, "zone": ZONE, "zones": [ZONES], "discovery": "pushed",
     "contract": {"answerSlackMs": 20.0, "coldMs": 2000.0, "fallMs": 500.0, "fallMultiple": 1.25, "startCapacity": 0.17,
      "stopSendingWithinMs": 500.0},
     "familyInfo": {"guards": "CHECK", "listRole": "delayed", "oldestDataMs": [3000.0, 0.0, 0.0, 0.0, 0.0],
@@ -154,6 +154,11 @@
     SocketAddr::from(([10, net, 0, n as u8 + 1], 6432))
 }
 
+/// The name of a zone.
+fn zone(n: usize) -> char {
+    char::from(b'a' + n as u8)
+}
+
 impl Play {
     fn gateway_process(&self, n: usize) -> Process {
         1 + n
@@ -222,9 +227,12 @@
     }
 
     fn config(&self, n: usize, moved: bool) -> String {
+        let zones: Vec<_> = (0..self.scenario.zones).map(|z| format!("\"{}\"", zone(z))).collect();
         let settings = SETTINGS
             .replace("GATEWAYS", &self.scenario.gateways.to_string())
             .replace("ME", &n.to_string())
+            .replace("ZONES", &zones.join(","))
+            .replace("ZONE", &self.scenario.zone(n).to_string())
             .replace("CHECK", if self.scenario.check == "none" { "none" } else { "reject" });
         let (at, agent) = (address(0, n), address(if moved { 3 } else { 2 }, n));
         let sockets = self.scenario.sockets;
@@ -249,8 +257,11 @@
                 let mode = if e.primary { "read-write" } else { "read-only" };
                 let boot = if e.started > 0 { UNIX.as_millis() as i64 + e.started / 10 } else { 0 };
                 format!(
-                    r#"{{"uid":"m{}","endpoint":"{}","az":"a","pod_group":{},"state":"{state}","mode":"{mode}","boot_ms":{boot}}}"#,
-                    e.machine, address(1, e.machine), e.set
+                    r#"{{"uid":"m{}","endpoint":"{}","az":"{}","pod_group":{},"state":"{state}","mode":"{mode}","boot_ms":{boot}}}"#,
+                    e.machine,
+                    address(1, e.machine),
+                    zone(self.scenario.zone(e.machine % self.place.a_set)),
+                    e.set
                 )
             })
             .collect();
--- a/sim/src/script.rs
+++ b/sim/src/script.rs
@@ -30,6 +30,9 @@
     /// A gateway's descriptors.
     #[serde(default = "descriptors")]
     pub sockets: usize,
+    /// Gateways, and the members of each set, stand in so many zones in turn.
+    #[serde(default = "one")]
+    pub zones: usize,
     #[serde(default)]
     pub fails: Fails,
 }
@@ -38,6 +41,10 @@
     256
 }
 
+fn one() -> usize {
+    1
+}
+
 fn refuse() -> String {
     "refuse".into()
 }
@@ -58,6 +65,8 @@
     pub machines_spoil: f64,
     pub machines_reset: f64,
     pub hand_overs: f64,
+    /// How likely a whole zone falls silent and returns, its machines cold, its gateways new.
+    pub zone_lost: f64,
     pub agents_silent: f64,
     pub lists_lie: f64,
     pub clocks_step: f64,
@@ -130,6 +139,10 @@
 }
 
 impl Scenario {
+    pub fn zone(&self, n: usize) -> usize {
+        n % self.zones
+    }
+
     pub fn script(&self, seed: u64) -> Script {
         let mut chance = Rng::with_seed(seed ^ 0x5c71_9700);
         let end = self.seconds * 1e4;
@@ -170,6 +183,21 @@
             Fault::ClockSteps(g, if on { 20_000 } else { 0 })
         });
         faults.retain(|(_, fault)| !matches!(fault, Fault::Silent(_, false)) || chance.f64() >= for_good);
+        if f.zone_lost > 0.0 && chance.f64() < f.zone_lost {
+            let lost = chance.usize(..self.zones);
+            let at = (end * within(&mut chance, [0.15, 0.3])) as Tenths;
+            let until = at + (1e4 * within(&mut chance, lasts)) as Tenths;
+            for m in (0..machines).filter(|m| self.zone(m % self.machines_a_set) == lost) {
+                // One after the other, some hundred milliseconds apart, as machines start.
+                let until = until + chance.i64(0..5_000);
+                let (dies, heard) = (Fault::MachineDies(m), Fault::Silent(m, false));
+                let back = [(until, dies), (until + 1, heard), (until + 2, Fault::MachineReturns(m))];
+                faults.extend([(at, Fault::Silent(m, true))].into_iter().chain(back));
+            }
+            for g in (0..gateways).filter(|g| self.zone(*g) == lost) {
+                faults.extend([(at, Fault::GatewayDies(g)), (until, Fault::GatewayReturns(g))]);
+            }
+        }
         faults.sort_by_key(|(at, _)| *at);
         let many = within(&mut chance, self.commands) as usize;
         let slow = some(&mut chance, self.clients, f.clients_slow);
@@ -198,7 +226,7 @@
     }
 }
 
-const ALL: [(&str, &str); 12] = [
+const ALL: [(&str, &str); 13] = [
     ("round-close", include_str!("../scenarios/round-close.hcl")),
     ("calm", include_str!("../scenarios/calm.hcl")),
     ("failover", include_str!("../scenarios/failover.hcl")),
@@ -210,6 +238,7 @@
     ("sessions", include_str!("../scenarios/sessions.hcl")),
     ("crowd", include_str!("../scenarios/crowd.hcl")),
     ("reread", include_str!("../scenarios/reread.hcl")),
+    ("zone-returns", include_str!("../scenarios/zone-returns.hcl")),
     ("cold-start", include_str!("../scenarios/cold-start.hcl")),
 ];
 
