listing/: one way to hear of a listing, one figure for a burst of bytes

Need: read once more, the book moved a listing to the end of its line of silence in three places and worked out the same bound twice; the cursor had a function for a constant.

Changed: touch, burst_bytes, no function. Behaviour is the same.

--- a/listing/src/book.rs
+++ b/listing/src/book.rs
@@ -35,6 +35,12 @@
 const HABIT: u32 = 2;
 const SECOND: f64 = 10_000.0;
 
+impl Caps {
+    fn burst_bytes(&self) -> f64 {
+        self.bytes_a_second * BURST / self.pages_a_second.max(0.01)
+    }
+}
+
 /// Why a page is not read now, and when it may be asked for again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Turned {
@@ -161,7 +167,7 @@
             customer,
             pages,
             spare_pages: BURST,
-            spare_bytes: self.caps.bytes_a_second * BURST / self.caps.pages_a_second.max(0.01),
+            spare_bytes: self.caps.burst_bytes(),
             filled: now,
             heard: now,
             in_turn: 0,
@@ -183,8 +189,7 @@
         let past = (now - entry.filled).max(0) as f64 / SECOND;
         entry.filled = now;
         entry.spare_pages = (entry.spare_pages + past * caps.pages_a_second).min(BURST);
-        let most = caps.bytes_a_second * BURST / caps.pages_a_second.max(0.01);
-        entry.spare_bytes = (entry.spare_bytes + past * caps.bytes_a_second).min(most);
+        entry.spare_bytes = (entry.spare_bytes + past * caps.bytes_a_second).min(caps.burst_bytes());
         let pages = (1.0 - entry.spare_pages) / caps.pages_a_second.max(0.01);
         let bytes = (0.0 - entry.spare_bytes) / caps.bytes_a_second.max(1.0);
         let missing = pages.max(bytes);
@@ -201,7 +206,6 @@
 
     fn hear(&mut self, now: Tenths, listing: u64, seen: Seen) {
         let Some(entry) = self.entries.get_mut(&listing) else { return };
-        self.heard.remove(&(entry.heard, listing));
         if seen == Seen::Asked {
             let between = now - entry.heard;
             entry.between = if entry.in_turn <= 1 { between } else { (entry.between * 3 + between) / 4 };
@@ -209,8 +213,15 @@
         } else {
             entry.in_turn = 0;
         }
-        entry.heard = now;
-        self.heard.insert((now, listing));
+        self.touch(now, listing);
+    }
+
+    /// Something was heard of it now.
+    fn touch(&mut self, now: Tenths, listing: u64) {
+        let Some(entry) = self.entries.get_mut(&listing) else { return };
+        self.heard.remove(&(entry.heard, listing));
+        entry.heard = entry.heard.max(now);
+        self.heard.insert((entry.heard, listing));
     }
 
     /// What has come of a page that was to be read: what becomes of it.
@@ -246,9 +257,7 @@
             _ => {}
         }
         // A page that takes long is no silence of its client.
-        self.heard.remove(&(entry.heard, listing));
-        entry.heard = entry.heard.max(now);
-        self.heard.insert((entry.heard, listing));
+        self.touch(now, listing);
         effect
     }
 
@@ -317,9 +326,7 @@
         {
             if self.move_on(listing, Seen::Quiet) == Effect::Nothing {
                 // A page is being read for its client: it is there.
-                self.heard.remove(&(at, listing));
-                self.heard.insert((now, listing));
-                self.entries.get_mut(&listing).into_iter().for_each(|entry| entry.heard = now);
+                self.touch(now, listing);
                 continue;
             }
             self.counts.left += 1;
--- a/listing/src/cursor.rs
+++ b/listing/src/cursor.rs
@@ -2,7 +2,7 @@
 //!
 //! It must never be read for another customer, set or query than it was made for, nor after its end.
 
-use leverpoint_seal::{Keys, Unsealed, length};
+use leverpoint_seal::{AROUND, Keys, Unsealed, length};
 
 use crate::Tenths;
 
@@ -74,7 +74,7 @@
             return Err(Unread::Bad);
         }
         // As long as the text is, so long is the place; another length has another code.
-        let place = (text.len() * 3 / 4).checked_sub(length_of_rest()).ok_or(Unread::Bad)?;
+        let place = (text.len() * 3 / 4).checked_sub(AROUND + FIXED).ok_or(Unread::Bad)?;
         let bearer = [&(place as u32).to_be_bytes(), bearer].concat();
         let said = keys.open(KIND, text, FIXED + LONGEST_PLACE, &bearer).map_err(|why| match why {
             Unsealed::NoKey => Unread::Gone,
@@ -106,8 +106,3 @@
         })
     }
 }
-
-/// The bytes of a seal beside the place.
-fn length_of_rest() -> usize {
-    leverpoint_seal::AROUND + FIXED
-}
