--- a/src/decide.rs
+++ b/src/decide.rs
@@ -422,8 +422,8 @@
         s.in_flight = s.in_flight.saturating_sub(1);
         s.owing = s.owing.filter(|_| s.in_flight > 0);
         let measured = matches!(e.ending, Ending::Answered | Ending::TimedOut);
-        // A primary without a connection or a place to spare is short of them for writes as well.
         let unheard = s.heard <= sent.sent;
+        // A primary without a connection or a place to spare is short of them for writes as well.
         if measured || (role == 0 && matches!(e.ending, Ending::NotConnected | Ending::Full)) {
             // One that says nothing may be gone, which is no shortage: a second in a row takes the first back, and all of
             // them count once the server is heard again. Guards against idle servers left out because others are gone.
