members/: who of a fleet is there, and layouts agreed on by a quorum of the one before

Copies and the audit of the fleet need processes that know of each other. members/ decides, free of I/O and clock: doubts, indirect asks, rumours with bounds, incarnations, and a layout that changes by one holder at a time through a vote of the holders before it. Plants move to a package of their own so that the heart can have them. 15 courses of whole fleets keep it: nobody alive gone past the bound, no fork, no vote of a lost memory. Nothing uses it yet.

--- a/ground/src/lib.rs
+++ b/ground/src/lib.rs
@@ -4,7 +4,6 @@
 //! Nothing here knows what is said on a connection or decides anything. Code above it must take time, tasks and
 //! connections from here alone, or a world would not see them.
 
-mod plant;
 mod stream;
 mod time;
 
@@ -17,9 +16,9 @@
 use std::task::Waker;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-pub use plant::plant;
+pub use leverpoint_plant::plant;
 #[cfg(feature = "plants")]
-pub use plant::set_plant;
+pub use leverpoint_plant::set_plant;
 pub use stream::{Accept, Listener, Pipe, Stream, WeakStream};
 pub use time::{Elapsed, Sleep, sleep, sleep_until, timeout, timeout_at, yield_now};
 pub use tokio::time::Instant;
--- /dev/null
+++ b/link/src/lib.rs
@@ -0,0 +1,1 @@
+//! The way between two processes of a fleet.
--- /dev/null
+++ b/members/tests/members.rs
@@ -0,0 +1,439 @@
+//! Courses of whole fleets, message by message: who sees whom, which layout is agreed on, what a lost memory costs.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fastrand::Rng;
+use leverpoint_members::fellow::{Event, To};
+use leverpoint_members::layout::Layout;
+use leverpoint_members::table::{Input, Seen, step};
+use leverpoint_members::view::{Of, Told, View};
+use leverpoint_members::{Body, Card, Do, Envelope, Fellow, Incarnation, Kept, Rumour, Stand, Tenths, Terms};
+
+const TERMS: Terms = Terms {
+    beat: 5_000,
+    answer: 1_500,
+    asks: 3,
+    patience: 3,
+    spread: 3,
+    most: 64,
+    keeps: 36_000_000,
+    settles: 20_000,
+};
+
+fn card(name: &str, address: &str) -> Card {
+    Card {
+        name: name.into(),
+        address: address.into(),
+        zone: "a".into(),
+        machine: name.into(),
+        program: "1".into(),
+        incarnation: Incarnation::default(),
+    }
+}
+
+/// Processes by address, a network between them that cuts and loses, and disks.
+struct Fleet {
+    now: Tenths,
+    up: BTreeMap<String, Fellow>,
+    disks: BTreeMap<String, Kept>,
+    stopped: BTreeSet<String>,
+    /// From, to.
+    cut: BTreeSet<(String, String)>,
+    loss: f64,
+    keeps: bool,
+    chance: Rng,
+    under_way: BTreeMap<(Tenths, u64), (String, String, Envelope)>,
+    sent: u64,
+    founders: Vec<String>,
+    said: Vec<String>,
+}
+
+impl Fleet {
+    fn new(founders: &[&str]) -> Fleet {
+        Fleet {
+            now: 0,
+            up: BTreeMap::new(),
+            disks: BTreeMap::new(),
+            stopped: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            loss: 0.0,
+            keeps: true,
+            chance: Rng::with_seed(7),
+            under_way: BTreeMap::new(),
+            sent: 0,
+            founders: founders.iter().map(|f| (*f).to_owned()).collect(),
+            said: Vec::new(),
+        }
+    }
+
+    /// A process of that name at that address; its disk is that of the address.
+    fn start(&mut self, name: &str, at: &str, life: u64) {
+        let mut kept = self.disks.get(at).cloned().unwrap_or_default();
+        if kept.incarnation.memory == 0 {
+            kept.incarnation.memory = self.chance.u64(1..);
+        }
+        kept.incarnation.life = life.max(kept.incarnation.life + 1);
+        self.disks.insert(at.into(), kept.clone());
+        let seed = self.chance.u64(..);
+        let mut fellow = Fellow::new(self.now, card(name, at), kept, &self.founders, TERMS, seed);
+        fellow.set_seeds(&["p0".into(), "p1".into()]);
+        self.up.insert(at.into(), fellow);
+    }
+
+    fn does(&mut self, at: &str, all: Vec<Do>) {
+        for one in all {
+            match one {
+                Do::Send { to: To { address, .. }, envelope } => {
+                    self.sent += 1;
+                    let lost = self.chance.f64() < self.loss;
+                    if !lost && !self.cut.contains(&(at.to_owned(), address.clone())) {
+                        let due = (self.now + self.chance.i64(5..20), self.sent);
+                        self.under_way.insert(due, (at.to_owned(), address, *envelope));
+                    }
+                }
+                Do::Keep { number, kept } => {
+                    self.disks.insert(at.to_owned(), *kept);
+                    if self.keeps {
+                        let more = self.up.get_mut(at).unwrap().kept(self.now, number);
+                        self.does(at, more);
+                    }
+                }
+                Do::Say(event) => self.said.push(format!("{} {at} {event:?}", self.now / 10)),
+            }
+        }
+    }
+
+    fn until(&mut self, end: Tenths) {
+        loop {
+            let awake = |(at, _): &(&String, &Fellow)| !self.stopped.contains(*at);
+            let due = self.up.iter().filter(awake).map(|(at, fellow)| (fellow.due(), at.clone())).min();
+            let next = self.under_way.first_key_value().map(|((at, _), _)| *at);
+            let (Some((due, at)), next) = (due, next.unwrap_or(Tenths::MAX)) else { return };
+            if due.min(next) > end {
+                break;
+            }
+            self.now = self.now.max(due.min(next));
+            if next <= due {
+                let (_, (_, to, envelope)) = self.under_way.pop_first().unwrap();
+                if self.stopped.contains(&to) {
+                    continue;
+                }
+                if let Some(fellow) = self.up.get_mut(&to) {
+                    let all = fellow.heard(self.now, &envelope);
+                    self.does(&to, all);
+                }
+            } else {
+                let all = self.up.get_mut(&at).unwrap().tick(self.now);
+                self.does(&at, all);
+            }
+        }
+        self.now = end;
+    }
+
+    fn run(&mut self, seconds: i64) {
+        self.until(self.now + seconds * 10_000);
+    }
+
+    fn cut_both(&mut self, one: &[&str], other: &[&str]) {
+        for a in one {
+            for b in other {
+                self.cut.insert(((*a).into(), (*b).into()));
+                self.cut.insert(((*b).into(), (*a).into()));
+            }
+        }
+    }
+
+    /// What each sees, and which layout it goes by.
+    fn views(&self) -> String {
+        let one = |(at, fellow): (&String, &Fellow)| {
+            let seen = |l: leverpoint_members::Line| {
+                format!("{}{} {:?}", l.card.name, if l.holds { "+" } else { "" }, l.seen)
+            };
+            let lines: Vec<_> = fellow.lines(self.now).into_iter().filter(|l| !l.me).map(seen).collect();
+            format!("{at} {:?} v{}: {}\n", fellow.stand(), fellow.layout().version, lines.join(", "))
+        };
+        self.up.iter().map(one).collect()
+    }
+
+    fn seen(&self, at: &str, name: &str) -> Option<Seen> {
+        self.up[at].view().find(name).map(|(_, held)| held.seen())
+    }
+
+    fn said(&self, what: &str) -> usize {
+        self.said.iter().filter(|line| line.contains(what)).count()
+    }
+}
+
+fn fleet(many: usize, founders: usize) -> Fleet {
+    let names: Vec<String> = (0..many).map(|n| format!("n{n}")).collect();
+    let first: Vec<&str> = names.iter().take(founders).map(String::as_str).collect();
+    let mut fleet = Fleet::new(&first);
+    for n in 0..many {
+        fleet.start(&names[n], &format!("p{n}"), 100);
+    }
+    fleet
+}
+
+#[test]
+fn the_table_reads_like_this() {
+    let states = [Seen::Here, Seen::Doubted, Seen::Gone, Seen::Left];
+    let inputs = [
+        Input::Silent,
+        Input::TimeUp,
+        Input::ToldHere,
+        Input::ToldDoubted,
+        Input::ToldGone,
+        Input::ToldLeft,
+        Input::NewLife,
+    ];
+    let mut out = String::new();
+    for state in states {
+        for input in inputs {
+            let (next, effect) = step(state, input);
+            out += &format!("{state:?} {input:?} -> {next:?} {effect:?}\n");
+        }
+    }
+    insta::assert_snapshot!(out);
+}
+
+#[test]
+fn five_meet_found_a_layout_and_take_in_the_others() {
+    let mut fleet = fleet(5, 3);
+    fleet.run(20);
+    let views = fleet.views();
+    fleet.up.values().for_each(|f| assert_eq!(f.counts.forks, 0));
+    insta::assert_snapshot!(views);
+}
+
+#[test]
+fn one_that_died_is_gone_for_all_within_the_bound_and_holds_its_place_in_the_layout() {
+    let mut fleet = fleet(5, 5);
+    fleet.run(20);
+    fleet.up.remove("p4");
+    let bound = TERMS.detects(5);
+    fleet.until(fleet.now + bound);
+    for at in ["p0", "p1", "p2", "p3"] {
+        assert_eq!(fleet.seen(at, "n4"), Some(Seen::Gone), "{}", fleet.views());
+        assert!(fleet.up[at].layout().holder("n4").is_some());
+    }
+    // Nobody else was called gone, and the operator's word removes it.
+    assert_eq!(fleet.said("seen: Gone"), 4);
+    assert_eq!(fleet.up.get_mut("p0").unwrap().remove("n3"), Err("it is here: stop it first"));
+    fleet.up.get_mut("p1").unwrap().remove("n4").unwrap();
+    fleet.run(5);
+    assert!(fleet.up.values().all(|f| f.layout().version == 2 && f.layout().holders.len() == 4));
+}
+
+#[test]
+fn one_back_without_its_memory_is_replaced_and_votes_only_as_the_new_one() {
+    let mut fleet = fleet(3, 3);
+    fleet.run(10);
+    let before = fleet.up["p0"].layout().clone();
+    fleet.up.remove("p2");
+    fleet.disks.remove("p2");
+    fleet.start("n2", "p2", 0);
+    fleet.run(30);
+    let after = fleet.up["p2"].layout().clone();
+    assert_eq!((before.version, after.version), (1, 3), "{}", fleet.views());
+    assert_ne!(before.holder("n2"), after.holder("n2"));
+    assert_eq!(after.holders.len(), 3);
+    // With its folder it is the same holder, and nothing is to be agreed on.
+    fleet.up.remove("p1");
+    fleet.start("n1", "p1", 0);
+    fleet.run(30);
+    assert_eq!(fleet.up["p1"].layout(), &after);
+    assert!(fleet.up["p0"].lines(fleet.now).iter().all(|line| line.holds));
+}
+
+#[test]
+fn a_clock_an_hour_back_does_not_keep_a_new_life_out() {
+    let mut fleet = fleet(3, 3);
+    fleet.run(10);
+    fleet.up.remove("p2");
+    fleet.disks.remove("p2");
+    fleet.until(fleet.now + TERMS.detects(3));
+    // Its clock names a life that others hold for ended.
+    fleet.start("n2", "p2", 40);
+    fleet.run(20);
+    assert_eq!(fleet.up["p2"].stand(), Stand::In, "{}", fleet.said.join("\n"));
+    assert_eq!(fleet.said("Rises { to: 101 }"), 1);
+    assert_eq!(fleet.seen("p0", "n2"), Some(Seen::Here));
+}
+
+#[test]
+fn a_name_used_twice_stays_with_whom_is_there_and_goes_to_the_newer_once_he_was_not() {
+    let mut fleet = fleet(4, 3);
+    fleet.run(20);
+    fleet.start("n3", "p9", 200);
+    fleet.run(20);
+    // Kept out as long as the first is there, whatever its life says.
+    assert_eq!(fleet.up["p9"].stand(), Stand::Joining);
+    assert_eq!((fleet.said("p9 Taken"), fleet.said("p3 Ended")), (1, 0));
+    assert_eq!(fleet.up["p0"].view().find("n3").unwrap().1.rumour.card.address, "p3");
+    // The first stands still for so long that it is called gone: the second is taken in, the first wakes and ends.
+    fleet.stopped.insert("p3".into());
+    fleet.until(fleet.now + TERMS.detects(4) + 50_000);
+    assert_eq!(fleet.up["p9"].stand(), Stand::In);
+    fleet.stopped.remove("p3");
+    fleet.run(20);
+    assert_eq!(fleet.up["p3"].stand(), Stand::Ended);
+    assert_eq!(fleet.said("p3 Ended"), 1);
+    assert!(fleet.up["p0"].counts.ended > 0);
+    let sent = fleet.up.get_mut("p3").unwrap().tick(fleet.now + 5_000).len();
+    assert_eq!(sent, 0);
+}
+
+#[test]
+fn who_stood_still_for_ten_seconds_calls_nobody_gone_and_is_back_soon() {
+    let mut fleet = fleet(4, 4);
+    fleet.run(20);
+    fleet.stopped.insert("p1".into());
+    fleet.until(fleet.now + 200_000);
+    assert_eq!(fleet.seen("p0", "n1"), Some(Seen::Gone));
+    fleet.said.clear();
+    fleet.stopped.remove("p1");
+    fleet.until(fleet.now + TERMS.returns(4));
+    assert_eq!((fleet.said("p1 StoodStill"), fleet.said("seen: Gone")), (1, 0), "{}", fleet.said.join("\n"));
+    assert!(["p0", "p2", "p3"].iter().all(|at| fleet.seen(at, "n1") == Some(Seen::Here)));
+    assert_eq!(fleet.up["p1"].counts.contradicted, 1);
+}
+
+#[test]
+fn two_that_do_not_reach_each_other_are_vouched_for_by_a_third() {
+    let mut fleet = fleet(3, 3);
+    fleet.run(10);
+    fleet.cut_both(&["p0"], &["p2"]);
+    fleet.run(120);
+    assert_eq!(fleet.said("seen: Gone"), 0, "{}", fleet.said.join("\n"));
+    // One direction alone as well.
+    fleet.cut.remove(&("p0".into(), "p2".into()));
+    fleet.run(120);
+    assert_eq!(fleet.said("seen: Gone"), 0);
+}
+
+#[test]
+fn of_two_halves_of_equal_size_neither_changes_the_layout_and_both_meet_again() {
+    let mut fleet = fleet(4, 4);
+    fleet.run(20);
+    fleet.cut_both(&["p0", "p1"], &["p2", "p3"]);
+    fleet.until(fleet.now + TERMS.detects(4));
+    assert_eq!(fleet.seen("p0", "n2"), Some(Seen::Gone));
+    fleet.up.get_mut("p0").unwrap().remove("n2").unwrap();
+    fleet.up.get_mut("p2").unwrap().remove("n0").unwrap();
+    fleet.run(60);
+    assert!(fleet.up.values().all(|f| f.layout().version == 1), "{}", fleet.views());
+    fleet.cut.clear();
+    fleet.until(fleet.now + TERMS.returns(4) + 100_000);
+    let views = fleet.views();
+    assert!(!views.contains("Gone") && !views.contains("Doubted"), "{views}");
+    // What was wished for may have been agreed on before they saw each other; then they were taken in again.
+    let layout = fleet.up["p0"].layout().clone();
+    assert!(fleet.up.values().all(|f| *f.layout() == layout && f.counts.forks == 0));
+    assert_eq!(layout.holders.len(), 4);
+}
+
+#[test]
+fn three_in_ten_messages_lost_leave_nobody_gone_for_long() {
+    let mut fleet = fleet(8, 5);
+    fleet.run(30);
+    fleet.loss = 0.3;
+    fleet.run(300);
+    fleet.loss = 0.0;
+    fleet.until(fleet.now + TERMS.returns(8));
+    let views = fleet.views();
+    assert!(!views.contains("Gone") && !views.contains("Doubted"), "{views}");
+    assert!(fleet.up.values().all(|f| f.layout().holders.len() == 8));
+}
+
+#[test]
+fn nothing_is_voted_before_it_is_kept() {
+    let mut fleet = fleet(3, 3);
+    fleet.keeps = false;
+    fleet.run(20);
+    assert!(fleet.up.values().all(|f| f.layout().version == 0), "{}", fleet.views());
+    assert!(fleet.up["p1"].counts.votes > 0);
+    // What can't be kept ends the voice for good.
+    fleet.keeps = true;
+    let said = fleet.up.get_mut("p2").unwrap().unkept();
+    assert_eq!(said, [Do::Say(Event::Voiceless)]);
+    fleet.run(20);
+    assert!(fleet.up.values().all(|f| f.layout().version == 0));
+}
+
+#[test]
+fn who_leaves_in_order_is_not_doubted_and_comes_back_with_a_new_life() {
+    let mut fleet = fleet(4, 4);
+    fleet.run(20);
+    let all = fleet.up.get_mut("p3").unwrap().leave();
+    fleet.does("p3", all);
+    fleet.run(1);
+    fleet.up.remove("p3");
+    fleet.run(20);
+    assert_eq!((fleet.said("seen: Doubted"), fleet.said("seen: Left")), (0, 3), "{}", fleet.said.join("\n"));
+    fleet.start("n3", "p3", 0);
+    fleet.run(10);
+    assert_eq!(fleet.seen("p1", "n3"), Some(Seen::Here));
+    assert_eq!(fleet.up["p3"].layout().version, 1);
+}
+
+#[test]
+fn a_full_view_drops_who_went_first_and_never_one_that_is_here() {
+    let rumour = |name: &str, seen| Rumour {
+        card: Card { incarnation: Incarnation { life: 1, memory: 1 }, ..card(name, name) },
+        count: 0,
+        seen,
+    };
+    let mut view = View::new(2);
+    let mut dropped = Vec::new();
+    let mut tell = |view: &mut View, now, rumour: &Rumour| {
+        view.tell(now, rumour, Of::Another, &mut |member| dropped.push(member))
+    };
+    tell(&mut view, 1, &rumour("a", Seen::Here));
+    tell(&mut view, 2, &rumour("b", Seen::Here));
+    assert_eq!(tell(&mut view, 3, &rumour("c", Seen::Here)), Told::Refused);
+    tell(&mut view, 4, &rumour("a", Seen::Gone));
+    assert!(matches!(tell(&mut view, 5, &rumour("c", Seen::Here)), Told::Changed { .. }));
+    assert_eq!((dropped.as_slice(), view.find("a").is_none()), (&[0][..], true));
+}
+
+#[test]
+fn a_layout_changes_by_one_holder_and_its_quorums_share_one() {
+    let mut fleet = fleet(5, 5);
+    fleet.run(20);
+    let five = fleet.up["p0"].layout().clone();
+    let four = five.without("n1");
+    assert!(five.may_become(&four) && !five.may_become(&four.without("n2")));
+    assert!(!five.may_become(&Layout { version: four.version, holders: five.holders.clone() }));
+    for (one, other) in [(&five, &four), (&four, &four.without("n2")), (&five, &five)] {
+        let all: BTreeSet<_> = one.holders.iter().chain(&other.holders).collect();
+        assert!(one.quorum() + other.quorum() > all.len());
+    }
+}
+
+#[test]
+fn what_breaks_a_bound_is_not_taken() {
+    let mut fleet = fleet(2, 2);
+    fleet.run(5);
+    let mut envelope = None;
+    for one in fleet.up.get_mut("p1").unwrap().tick(fleet.now + 6_000) {
+        if let Do::Send { envelope: sent, .. } = one {
+            envelope = Some(*sent);
+        }
+    }
+    let sound = envelope.expect("a ping");
+    let mut long = sound.clone();
+    long.me.card.zone = "z".repeat(65);
+    let mut nameless = sound.clone();
+    nameless.me.card.name.clear();
+    let mut many = sound.clone();
+    many.rumours = vec![sound.me.clone(); 17];
+    let mut unsorted = sound.clone();
+    let holders = fleet.up["p0"].layout().holders.iter().rev().cloned().collect();
+    unsorted.body = Body::Agreed { layout: Layout { version: 9, holders } };
+    let before = fleet.up["p0"].counts;
+    let p0 = fleet.up.get_mut("p0").unwrap();
+    for bad in [&long, &nameless, &many, &unsorted] {
+        assert_eq!(p0.heard(fleet.now, bad), []);
+    }
+    assert_eq!((p0.counts.unsound - before.unsound, p0.layout().version), (4, 1));
+}
