--- a/facts/src/operator.rs
+++ b/facts/src/operator.rs
@@ -14,11 +14,12 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use data_encoding::HEXLOWER;
-use leverpoint_sessions::{Key, Keys, Terms};
+use leverpoint_sessions::{Keys, Terms};
 
 use crate::file;
 use crate::key::Fault;
+use crate::members;
+use crate::unit::{self, Bytes, Number, Rate, Secret, Span};
 
 /// The blocks of the file.
 #[derive(Debug, Default, Deserialize, Serialize, JsonSchema)]
@@ -26,6 +27,7 @@
 struct Blocks {
     slow: Slow,
     sessions: Sessions,
+    members: members::Block,
 }
 
 /// Sessions beyond what passes through this process: what a read must see, whoever took its session's writes.
@@ -106,71 +108,6 @@
     kernel: Option<Bytes>,
 }
 
-/// Number and unit, one after the other.
-macro_rules! unit {
-    ($name:ident, $of:ty, $pattern:literal, $expected:literal, $units:expr) => {
-        #[derive(Debug, Clone, Deserialize, Serialize, JsonSchema)]
-        #[schemars(transparent, inline, extend("pattern" = $pattern, "x-expected" = $expected))]
-        struct $name(String);
-
-        impl $name {
-            /// The pattern has been checked.
-            fn value(&self) -> $of {
-                let at = self.0.find(|c: char| !c.is_ascii_digit()).unwrap_or(self.0.len());
-                let (number, unit) = self.0.split_at(at);
-                let units: &[(&str, $of)] = $units;
-                let scale = units.iter().find(|(name, _)| *name == unit).map_or(1, |(_, scale)| *scale);
-                number.parse::<$of>().unwrap_or_default() * scale
-            }
-        }
-    };
-}
-
-unit!(
-    Rate,
-    u64,
-    "^[1-9][0-9]{0,5}(B|KiB|MiB)/s$",
-    "a rate like \"8KiB/s\", in B/s, KiB/s or MiB/s",
-    &[("B/s", 1), ("KiB/s", 1 << 10), ("MiB/s", 1 << 20)]
-);
-unit!(
-    Bytes,
-    usize,
-    "^[1-9][0-9]{0,5}(B|KiB|MiB)$",
-    "a size like \"128KiB\", in B, KiB or MiB",
-    &[("B", 1), ("KiB", 1 << 10), ("MiB", 1 << 20)]
-);
-/// A key's number and its bytes in hexadecimal digits.
-#[derive(Clone, Deserialize, Serialize, JsonSchema)]
-#[schemars(transparent, inline, extend("pattern" = "^([0-9]|[1-9][0-9]|1[0-9]{2}|2[0-4][0-9]|25[0-5]):([0-9a-f]{2}){16,64}$",
-    "x-expected" = "a key like \"1:\" and 32 to 128 hexadecimal digits"))]
-struct Secret(String);
-
-impl std::fmt::Debug for Secret {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("a key")
-    }
-}
-
-/// Sixteen hexadecimal digits.
-#[derive(Clone, Deserialize, Serialize, JsonSchema)]
-#[schemars(transparent, inline, extend("pattern" = "^[0-9a-f]{16}$", "x-expected" = "sixteen hexadecimal digits"))]
-struct Number(String);
-
-impl std::fmt::Debug for Number {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("a number")
-    }
-}
-
-unit!(
-    Span,
-    Tenths,
-    "^[1-9][0-9]{0,5}(ms|s|m)$",
-    "a time like \"250ms\", in ms, s or m",
-    &[("ms", 10), ("s", 10_000), ("m", 600_000)]
-);
-
 /// How sessions are followed.
 #[derive(Clone, Debug)]
 pub struct Follow {
@@ -250,7 +187,8 @@
     }
 
     fn fault(&self, path: &str, expected: &str) -> Fault {
-        let line = self.lines.get(path).map_or(String::new(), |line| format!("{line}:"));
+        let line = self.lines.get(path).or_else(|| self.lines.get(path.rsplit_once('/')?.0));
+        let line = line.map_or(String::new(), |line| format!("{line}:"));
         let key = path.trim_start_matches('/').replace('/', ".");
         let found = match self.document.pointer(path) {
             Some(Value::Object(_)) => "a block".to_owned(),
@@ -265,7 +203,9 @@
     fn misses(&self, schema: &Value, at: &str) -> Fault {
         let mut wanted = schema;
         for name in at.split('/').skip(1) {
-            wanted = &wanted["properties"][name];
+            // An item of a list goes by its number.
+            let item = name.parse::<usize>().is_ok() && wanted["items"].is_object();
+            wanted = if item { &wanted["items"] } else { &wanted["properties"][name] };
         }
         let known = wanted["properties"].as_object();
         if let (Some(known), Some(Value::Object(has))) = (known, self.document.pointer(at)) {
@@ -347,17 +287,8 @@
             sessions: said.known.map_or(usual.sessions, |n| n as usize),
             cells: said.cells.map_or(usual.cells, |n| n as usize),
         };
-        let mut keys: Vec<Key> = Vec::new();
-        for Secret(text) in said.keys.iter().flatten() {
-            // The pattern has been checked.
-            let (number, hex) = text.split_once(':').unwrap_or_default();
-            let number = number.parse().unwrap_or_default();
-            if keys.iter().any(|key| key.number == number) {
-                return Err(self.fault("/sessions/keys", "each key's number once"));
-            }
-            let secret = HEXLOWER.decode(hex.as_bytes()).unwrap_or_default();
-            keys.push(Key { number, secret });
-        }
+        let keys = unit::keys(said.keys.as_deref().unwrap_or_default())
+            .ok_or_else(|| self.fault("/sessions/keys", "each key's number once"))?;
         if !keys.is_empty() && said.number.is_none() {
             return Err(
                 self.fault("/sessions/number", "sixteen hexadecimal digits, as tokens are bound to sessions")
@@ -377,6 +308,19 @@
         Ok(Some(Follow { terms, keys: Keys::new(keys), number: number.unwrap_or(seed), disk }))
     }
 
+    /// The fleet that this process is a member of; none where it is of none. `name` is the process's own, `zone` where
+    /// the configuration says it stands, `sockets` its descriptors.
+    pub fn members(
+        &self,
+        name: &str,
+        zone: &str,
+        sockets: usize,
+    ) -> Result<Option<members::Membership>, Fault> {
+        self.blocks.members.membership(name, zone, sockets, &|key, expected| {
+            self.fault(&format!("/members/{key}"), expected)
+        })
+    }
+
     /// Keys that another reading has found changed.
     pub fn changed(&self, again: &Operator) -> Vec<String> {
         let mut out = Vec::new();
--- /dev/null
+++ b/facts/src/unit.rs
@@ -0,0 +1,88 @@
+//! Owns the units and forms that the operator's file speaks in: times, sizes, rates, keys, numbers.
+//!
+//! It must never take what its pattern does not allow.
+
+use data_encoding::HEXLOWER;
+use leverpoint_pace::Tenths;
+use leverpoint_sessions::Key;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// Number and unit, one after the other.
+macro_rules! unit {
+    ($name:ident, $of:ty, $pattern:literal, $expected:literal, $units:expr) => {
+        #[derive(Debug, Clone, Deserialize, Serialize, JsonSchema)]
+        #[schemars(transparent, inline, extend("pattern" = $pattern, "x-expected" = $expected))]
+        pub(crate) struct $name(String);
+
+        impl $name {
+            /// The pattern has been checked.
+            pub(crate) fn value(&self) -> $of {
+                let at = self.0.find(|c: char| !c.is_ascii_digit()).unwrap_or(self.0.len());
+                let (number, unit) = self.0.split_at(at);
+                let units: &[(&str, $of)] = $units;
+                let scale = units.iter().find(|(name, _)| *name == unit).map_or(1, |(_, scale)| *scale);
+                number.parse::<$of>().unwrap_or_default() * scale
+            }
+        }
+    };
+}
+
+unit!(
+    Rate,
+    u64,
+    "^[1-9][0-9]{0,5}(B|KiB|MiB)/s$",
+    "a rate like \"8KiB/s\", in B/s, KiB/s or MiB/s",
+    &[("B/s", 1), ("KiB/s", 1 << 10), ("MiB/s", 1 << 20)]
+);
+unit!(
+    Bytes,
+    usize,
+    "^[1-9][0-9]{0,5}(B|KiB|MiB)$",
+    "a size like \"128KiB\", in B, KiB or MiB",
+    &[("B", 1), ("KiB", 1 << 10), ("MiB", 1 << 20)]
+);
+/// A key's number and its bytes in hexadecimal digits.
+#[derive(Clone, Deserialize, Serialize, JsonSchema)]
+#[schemars(transparent, inline, extend("pattern" = "^([0-9]|[1-9][0-9]|1[0-9]{2}|2[0-4][0-9]|25[0-5]):([0-9a-f]{2}){16,64}$",
+    "x-expected" = "a key like \"1:\" and 32 to 128 hexadecimal digits"))]
+pub(crate) struct Secret(String);
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("a key")
+    }
+}
+
+/// Sixteen hexadecimal digits.
+#[derive(Clone, Deserialize, Serialize, JsonSchema)]
+#[schemars(transparent, inline, extend("pattern" = "^[0-9a-f]{16}$", "x-expected" = "sixteen hexadecimal digits"))]
+pub(crate) struct Number(pub(crate) String);
+
+impl std::fmt::Debug for Number {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("a number")
+    }
+}
+
+unit!(
+    Span,
+    Tenths,
+    "^[1-9][0-9]{0,5}(ms|s|m)$",
+    "a time like \"250ms\", in ms, s or m",
+    &[("ms", 10), ("s", 10_000), ("m", 600_000)]
+);
+
+/// The keys in their order; none where a number is there twice. Their pattern has been checked.
+pub(crate) fn keys(said: &[Secret]) -> Option<Vec<Key>> {
+    let mut keys: Vec<Key> = Vec::new();
+    for Secret(text) in said {
+        let (number, hex) = text.split_once(':').unwrap_or_default();
+        let number = number.parse().unwrap_or_default();
+        if keys.iter().any(|key| key.number == number) {
+            return None;
+        }
+        keys.push(Key { number, secret: HEXLOWER.decode(hex.as_bytes()).unwrap_or_default() });
+    }
+    Some(keys)
+}
--- a/facts/tests/operator.rs
+++ b/facts/tests/operator.rs
@@ -55,3 +55,35 @@
     let two = read("slow {\n  grace = \"3s\"\n  stall = \"1s\"\n  kernel = \"16KiB\"\n}").unwrap();
     assert_eq!(one.changed(&two), ["slow.grace", "slow.stall"]);
 }
+
+#[test]
+fn a_block_of_members_is_whole_or_names_its_key() {
+    let key = "7:00112233445566778899aabbccddeeff";
+    let base = |more: &str| {
+        format!("members {{\n  listen = \"127.0.0.1:7432\"\n  fleet = \"f\"\n  keys = [\"{key}\"]\n{more}}}")
+    };
+    let member = |text: &str| read(text).and_then(|o| o.members("n0", "a", 256).map_err(|f| f.to_string()));
+    assert!(member("").unwrap().is_none());
+    let whole = member(&base("  beat = \"100ms\"\n  seeds = [\"127.0.0.1:7433\"]\n")).unwrap().unwrap();
+    assert_eq!((whole.terms.beat, whole.terms.answer, whole.terms.settles), (1_000, 300, 4_000));
+    assert_eq!((whole.zone.as_str(), whole.machine.as_str(), whole.connections), ("a", "n0", 16));
+    let texts = [
+        "members {\n  listen = \"here\"\n}".to_owned(),
+        "members {\n  listen = \"0.0.0.0:7432\"\n}".to_owned(),
+        "members {\n  listen = \"127.0.0.1:7432\"\n}".to_owned(),
+        "members {\n  listen = \"127.0.0.1:7432\"\n  fleet = \"f\"\n}".to_owned(),
+        base("  seeds = [\"n1\"]\n"),
+        base("  reach = { n1 = \"n1\" }\n"),
+        base("  beat = \"10ms\"\n"),
+        base("  beat = 100\n"),
+        base("  founders = [\"\"]\n"),
+        base("  connections = 100\n"),
+        base("  connections = 2\n"),
+        base("  address = \"127.0.0.1:0\"\n"),
+        base("  zones = 3\n"),
+        base("").replace(&format!("\"{key}\""), &format!("\"{key}\", \"{key}\"")),
+        base("").replace(key, "seven"),
+    ];
+    let faults: Vec<String> = texts.iter().map(|text| member(text).expect_err(text)).collect();
+    insta::assert_snapshot!(faults.join("\n"));
+}
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -7,6 +7,7 @@
 
 use leverpoint_facts::node::Node;
 use leverpoint_facts::operator::Operator;
+use leverpoint_gateway::fleet::{self, Begins};
 use leverpoint_gateway::serve::{self, Gateway};
 use leverpoint_ground::{Listener, spawn};
 use leverpoint_pace::Caps;
@@ -22,6 +23,20 @@
     served
 }
 
+/// Where the link of a fleet's member listens.
+fn link(node: &Node, operator: &Operator) -> io::Result<Option<Begins>> {
+    let membership =
+        fleet::membership(node, operator).map_err(|fault| io::Error::other(fault.to_string()))?;
+    let Some(membership) = membership else { return Ok(None) };
+    let socket = Socket::new(Domain::for_address(membership.listen), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    let named = |e: io::Error| io::Error::new(e.kind(), format!("members.listen {}: {e}", membership.listen));
+    socket.bind(&membership.listen.into()).map_err(named)?;
+    socket.listen(128)?;
+    Ok(Some(Begins { listener: Listener::Tcp(TcpListener::from_std(socket.into())?), membership }))
+}
+
 /// The address may have been held by this gateway's earlier life a moment ago.
 fn listen(node: &Node, caps: &Caps) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(node.listen), Type::STREAM, None)?;
@@ -44,7 +59,9 @@
     let mut print = signal(SignalKind::user_defined1())?;
     let faulty = |fault: leverpoint_facts::Fault| io::Error::other(fault.to_string());
     let listener = listen(&node, &serve::caps(&node, &operator).map_err(faulty)?)?;
-    let gateway = Rc::new(Gateway::start(node, operator, Listener::Tcp(listener), log).map_err(faulty)?);
+    let member = link(&node, &operator)?;
+    let started = Gateway::start(node, operator, Listener::Tcp(listener), member, log);
+    let gateway = Rc::new(started.map_err(faulty)?);
     let printed = gateway.clone();
     spawn(async move {
         while print.recv().await.is_some() {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod clients;
 pub mod discovery;
+pub mod fleet;
 pub mod kept;
 pub mod message;
 pub mod ring;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,8 +1,9 @@
-//! Owns the command line and the log: `leverpoint serve`, `version` and `check`.
+//! Owns the command line and the log: `leverpoint serve`, `members`, `version` and `check`.
 //!
 //! It reads nothing itself but the words it was started with, and decides nothing.
 
 mod daemon;
+mod members;
 
 use std::fmt::Write as _;
 use std::io::Write as _;
@@ -13,7 +14,7 @@
 use leverpoint_facts::Fault;
 use leverpoint_facts::node::{self, Node};
 use leverpoint_facts::operator::{self, Operator};
-use leverpoint_gateway::serve;
+use leverpoint_gateway::{fleet, serve};
 use slog::{Drain, KV, Logger, OwnedKVList, Record, o};
 
 #[derive(Clone, Debug)]
@@ -22,6 +23,7 @@
     Version,
     Check { file: String, operator: Option<String> },
     Schema,
+    Members(members::Asked),
 }
 
 fn operators_file() -> impl Parser<Option<String>> {
@@ -47,7 +49,10 @@
     let check = check.descr("Reads a configuration and prints what it comes to, or the faulty key");
     let (serve, version, check) =
         (serve.command("serve"), version.command("version"), check.command("check"));
-    construct!([serve, version, check]).to_options().descr("A read and write splitter for database clusters")
+    let members = members::words().command("members").map(Asked::Members);
+    construct!([serve, members, version, check])
+        .to_options()
+        .descr("A read and write splitter for database clusters")
 }
 
 fn main() -> ExitCode {
@@ -60,6 +65,16 @@
             println!("{:#}", operator::schema());
             Ok(())
         }
+        Asked::Members(asked) => match members::run(&asked) {
+            Ok(text) => {
+                print!("{text}");
+                Ok(())
+            }
+            Err(why) => {
+                eprintln!("leverpoint: {why}");
+                return ExitCode::FAILURE;
+            }
+        },
         Asked::Check { file, operator } => node::from_file(&file, |_, _| None)
             .and_then(|node| comes_to(&node, &read_operator(operator)?))
             .map(|text| print!("{text}")),
@@ -94,6 +109,7 @@
     let node = node::from_environment(|name| std::env::var(name).ok())?;
     let operator = read_operator(operator)?;
     serve::caps(&node, &operator)?;
+    fleet::membership(&node, &operator)?;
     Ok((node, operator))
 }
 
@@ -112,6 +128,11 @@
     let _ = writeln!(out, "zones {}", node.opened.zones.join(", "));
     let _ = writeln!(out, "{:?}\n{:?}\n{:?}", facts.list, facts.allowed, facts.guard);
     let _ = writeln!(out, "{:?}", serve::caps(node, operator)?);
+    if let Some(m) = fleet::membership(node, operator)? {
+        let _ =
+            writeln!(out, "member of {} at {}, zone {}, machine {}", m.fleet, m.address, m.zone, m.machine);
+        let _ = writeln!(out, "{:?}, {} connections", m.terms, m.connections);
+    }
     Ok(out)
 }
 
--- /dev/null
+++ b/gateway/src/members.rs
@@ -0,0 +1,134 @@
+//! Owns `leverpoint members`: one question to a running gateway over the link, and how its answer is shown.
+//!
+//! It must never be taken for a member, or show a guess as if it were agreed on.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+
+use bpaf::{OptionParser, Parser, construct, long};
+use leverpoint_facts::operator;
+use leverpoint_gateway::fleet::{known_by, marks, shown};
+use leverpoint_link::{Answer, Question, ask};
+use leverpoint_members::{Line, Tenths};
+use serde::Serialize;
+use tokio::task::LocalSet;
+
+#[derive(Clone, Debug)]
+pub struct Asked {
+    operator: String,
+    at: Option<SocketAddr>,
+    json: bool,
+    remove: Option<String>,
+}
+
+pub fn words() -> OptionParser<Asked> {
+    let operator = long("operator").help("The operator's file, for the fleet, its keys and the address");
+    let operator = operator.argument::<String>("FILE");
+    let at = long("at").help("The link's address; else the file's members.listen");
+    let at = at.argument::<SocketAddr>("ADDRESS").optional();
+    let json = long("json").help("One object of JSON").switch();
+    let remove = long("remove").help("Has a holder that does not come back leave the layout");
+    let remove = remove.argument::<String>("NAME").optional();
+    let all = construct!(Asked { operator, at, json, remove });
+    all.to_options().descr("Shows who of the fleet a running gateway sees, and the layout agreed on")
+}
+
+/// What is printed.
+pub fn run(asked: &Asked) -> Result<String, String> {
+    let file = operator::from_file(&asked.operator).map_err(|fault| fault.to_string())?;
+    let membership = file.members("operator", "", 1 << 16).map_err(|fault| fault.to_string())?;
+    let membership =
+        membership.ok_or_else(|| format!("{}: members.listen: expected an address", asked.operator))?;
+    let at = asked.at.unwrap_or(membership.listen);
+    let question = match &asked.remove {
+        Some(name) => Question::Remove { name: name.clone() },
+        None => Question::Members,
+    };
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let asking = ask::ask(at, known_by(&membership), question, marks());
+    match LocalSet::new().block_on(&runtime, asking)? {
+        Answer::Members { stand, version, holders, lines } => {
+            if asked.json {
+                json(&stand, version, holders, &lines)
+            } else {
+                Ok(table(&stand, version, holders, &lines))
+            }
+        }
+        Answer::Done => Ok("asked for\n".to_owned()),
+        Answer::Refused { why } => Err(why),
+    }
+}
+
+#[derive(Serialize)]
+struct Shown<'a> {
+    name: &'a str,
+    zone: &'a str,
+    machine: &'a str,
+    address: &'a str,
+    life: u64,
+    memory: String,
+    seen: &'a str,
+    since_ms: Tenths,
+    heard_ms: Option<Tenths>,
+    holds: bool,
+    program: &'a str,
+    me: bool,
+}
+
+fn json(stand: &str, version: u64, holders: u32, lines: &[Line]) -> Result<String, String> {
+    let one = |line: &'_ Line| {
+        let card = &line.card;
+        serde_json::to_value(Shown {
+            name: &card.name,
+            zone: &card.zone,
+            machine: &card.machine,
+            address: &card.address,
+            life: card.incarnation.life,
+            memory: format!("{:016x}", card.incarnation.memory),
+            seen: shown(line.seen),
+            since_ms: line.since / 10,
+            heard_ms: line.heard.map(|ago| ago / 10),
+            holds: line.holds,
+            program: &card.program,
+            me: line.me,
+        })
+    };
+    let members = lines.iter().map(one).collect::<Result<Vec<_>, _>>().map_err(|e| e.to_string())?;
+    let all = serde_json::json!({
+        "stand": stand, "layout": version, "holders": holders, "members": members,
+    });
+    Ok(format!("{all}\n"))
+}
+
+fn table(stand: &str, version: u64, holders: u32, lines: &[Line]) -> String {
+    let seconds = |tenths: Tenths| format!("{:.1}s", tenths as f64 / 1e4);
+    let mut rows = vec![
+        ["name", "zone", "machine", "life", "seen", "since", "heard", "holds", "program", "address"]
+            .map(String::from),
+    ];
+    rows.extend(lines.iter().map(|line| {
+        let card = &line.card;
+        [
+            if line.me { format!("{}*", card.name) } else { card.name.clone() },
+            card.zone.clone(),
+            card.machine.clone(),
+            card.incarnation.life.to_string(),
+            shown(line.seen).to_owned(),
+            if line.me { "-".to_owned() } else { seconds(line.since) },
+            line.heard.map_or("-".to_owned(), seconds),
+            if line.holds { "yes" } else { "no" }.to_owned(),
+            card.program.clone(),
+            card.address.clone(),
+        ]
+    }));
+    let widths: Vec<usize> =
+        (0..rows[0].len()).map(|n| rows.iter().map(|row| row[n].len()).max().unwrap_or(0)).collect();
+    let mut out = format!("stand {stand}, layout {version} with {holders} holders; * is who was asked\n");
+    for row in rows {
+        let cells: Vec<String> =
+            row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}")).collect();
+        let _ = writeln!(out, "{}", cells.join("  ").trim_end());
+    }
+    out
+}
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -23,6 +23,7 @@
 
 use crate::clients;
 use crate::discovery::{self, Whereabouts};
+use crate::fleet;
 use crate::kept;
 use crate::message::LONGEST;
 use crate::servers::Servers;
@@ -39,6 +40,7 @@
     leaving: Rc<Leaving>,
     agent: Rc<Whereabouts>,
     kept: Option<Rc<Writer>>,
+    pub member: Option<Rc<leverpoint_link::Node>>,
     stop: Rc<Notify>,
     stopped: Rc<Notify>,
     log: slog::Logger,
@@ -62,6 +64,7 @@
         mut node: Node,
         operator: Operator,
         listener: Listener,
+        member: Option<fleet::Begins>,
         log: slog::Logger,
     ) -> Result<Self, Fault> {
         let caps = caps(&node, &operator)?;
@@ -69,8 +72,10 @@
         let counters = Rc::new(Counters::new(&opened.groups));
         let facts = &opened.facts;
         let peers = Peers::new(caps, facts.groups.len(), facts.customers.len(), facts.seed, log.clone());
-        let leaving = Leaving::new(node.limits.sockets, peers.clone());
-        let descriptors = Descriptors::new(node.limits.sockets, leaving.clone());
+        // The link's connections are bounded by themselves; what is left is for clients and servers.
+        let sockets = node.limits.sockets - member.as_ref().map_or(0, fleet::Begins::descriptors);
+        let leaving = Leaving::new(sockets, peers.clone());
+        let descriptors = Descriptors::new(sockets, leaving.clone());
         let (connect_timeout, idle_close) = (opened.connect_timeout, opened.idle_close);
         let servers =
             Servers::new(descriptors.clone(), peers.clone(), counters.clone(), connect_timeout, idle_close);
@@ -81,6 +86,7 @@
         if let Some(known) = node.known.take().and_then(|known| discovery::told(known.get().as_bytes())) {
             exchange.list(News::Remembered, &known.entries);
         }
+        let member = member.map(|begins| fleet::start(begins, &node.name, &log));
         slog::info!(log, "serving"; "name" => &node.name, "listen" => node.listen.to_string());
         spawn(exchange.clone().keep_time());
         spawn(servers.tidy());
@@ -101,7 +107,20 @@
             told.notify_one();
         });
         let operator = RefCell::new(operator);
-        Ok(Gateway { node, operator, exchange, peers, counters, leaving, agent, kept, stop, stopped, log })
+        Ok(Gateway {
+            node,
+            operator,
+            exchange,
+            peers,
+            counters,
+            leaving,
+            agent,
+            kept,
+            member,
+            stop,
+            stopped,
+            log,
+        })
     }
 
     /// Prints what is counted and how much each table holds.
@@ -112,11 +131,18 @@
         if let Some(ledger) = &self.exchange.sessions {
             slog::info!(self.log, "sessions"; "all" => ledger.line());
         }
+        if let Some(member) = &self.member {
+            slog::info!(self.log, "member"; "all" => member.line());
+        }
     }
 
     /// Takes on what still comes for a moment, then ends each connection once nothing of it is open.
     pub async fn end(&self) {
         slog::info!(self.log, "ending");
+        if let Some(member) = &self.member {
+            // Said first, so that it is out long before the process ends.
+            member.leave();
+        }
         sleep(TAKES_ON).await;
         self.stop.notify_one();
         self.stopped.notified().await;
@@ -160,15 +186,24 @@
     fn reread_operator(&self) {
         let mut held = self.operator.borrow_mut();
         let Some(file) = held.file() else { return };
-        let again = operator::from_file(file).and_then(|again| Ok((caps(&self.node, &again)?, again)));
+        let again = operator::from_file(file)
+            .and_then(|again| Ok((caps(&self.node, &again)?, fleet::membership(&self.node, &again)?, again)));
         match again {
-            Ok((caps, again)) => {
+            Ok((caps, membership, again)) => {
                 let changed = held.changed(&again);
                 self.peers.set_caps(caps);
-                let waits = |key: &&String| ["slow.kernel", "slow.caps"].contains(&key.as_str());
+                if let (Some(member), Some(membership)) = (&self.member, &membership) {
+                    member.set(fleet::known_by(membership), &membership.seeds);
+                }
+                let held_now = ["members.keys", "members.seeds", "members.reach"];
+                let waits = |key: &&String| {
+                    let member =
+                        key.starts_with("members") && !held_now.iter().any(|now| key.starts_with(now));
+                    member || ["slow.kernel", "slow.caps"].contains(&key.as_str())
+                };
                 let waiting: Vec<_> = changed.iter().filter(waits).map(String::as_str).collect();
                 slog::info!(self.log, "operator's file read again"; "changed" => changed.join(" "),
-                    "needs_restart_for_open_connections" => waiting.join(" "));
+                    "needs_restart" => waiting.join(" "));
                 *held = again;
             }
             Err(fault) => slog::error!(self.log, "operator's file not taken"; "why" => fault.to_string()),
--- /dev/null
+++ b/gateway/tests/fleet.rs
@@ -0,0 +1,246 @@
+//! Five real processes of the program, the ways between them cut, held and spoilt, some of them killed, stopped, burnt or
+//! there twice: who sees whom, which layout holds, and that nothing is believed from a life that has ended.
+
+use std::path::Path;
+use std::time::Duration;
+
+use leverpoint_stands::relay::Trouble;
+use leverpoint_stands::stage::{Build, KEY, Stage};
+use leverpoint_stands::wire::list;
+
+const SETTINGS: &str = r#"{"balancers": 1, "me": 0, "tickMs": 5.0, "zone": 0, "zones": ["a"], "discovery": "pushed",
+    "contract": {"answerSlackMs": 20.0, "coldMs": 9000.0, "fallMs": 1500.0, "fallMultiple": 2.5, "startCapacity": 0.2,
+     "stopSendingWithinMs": 500.0},
+    "familyInfo": {"guards": "reject", "listRole": "delayed", "oldestDataMs": [0.0],
+     "readLevel": ["loose"], "stamps": true, "tokens": "router"},
+    "grades": [{"name": "own", "aimMs": 4000.0, "deadlineMs": 20000.0, "semantics": "pure", "worth": 2.0}],
+    "policyLimits": {"sendCap": 6, "retryAfter": true, "maxRetryAfterMs": 1000.0, "connectTimeoutMs": 2000.0,
+     "idleCloseMs": 15000.0},
+    "tenants": [{"name": "acme", "share": 1.0, "quotaPerS": 1000.0}]}"#;
+
+const CUT: Trouble =
+    Trouble { cut: true, lose: 0.0, double: 0.0, reorder: 0.0, spoil: 0.0, hold: Duration::ZERO };
+
+/// Five that have met; the first three have founded the layout and the others were taken in.
+fn five() -> Stage {
+    let build = Build {
+        processes: 5,
+        founders: 3,
+        beat_ms: 100,
+        disk: true,
+        zones: 2,
+        members: true,
+        settings: SETTINGS.into(),
+        known: list(7, true, &[]),
+        seed: 11,
+    };
+    let mut stage = Stage::new(Path::new(env!("CARGO_BIN_EXE_leverpoint")), build);
+    stage.start_all();
+    stage.meet(&[0, 1, 2, 3, 4], 3);
+    stage
+}
+
+fn gone_for(stage: &mut Stage, who: &[usize], gone: usize) {
+    let name = stage.name(gone).to_owned();
+    for p in who {
+        stage.until(*p, &format!("{name} gone"), |word| word.sees(&name, "gone"));
+    }
+}
+
+/// No layout forked, and nobody was believed who had ended.
+fn sound(stage: &mut Stage, who: &[usize]) {
+    for p in who {
+        assert_eq!((stage.counted(*p, "forks"), stage.word(*p).forks), (0, 0));
+    }
+}
+
+#[test]
+fn a_killed_one_is_gone_for_all_and_returns_with_its_memory_or_without() {
+    let mut stage = five();
+    let memory = stage.word(4).memory.clone();
+    stage.kill(4);
+    gone_for(&mut stage, &[0, 1, 2, 3], 4);
+    stage.start(4);
+    stage.meet(&[0, 1, 2, 3, 4], 3);
+    assert_eq!(stage.word(4).memory, memory);
+    assert_eq!(stage.word(0).layout, 3, "with its folder it is the holder that it was");
+    // With its folder gone it is another one: the old holder is voted out, the new one in.
+    stage.burn(4);
+    stage.start(4);
+    stage.meet(&[0, 1, 2, 3, 4], 5);
+    assert_ne!(stage.word(4).memory, memory);
+    assert_eq!(stage.word(4).holders, 5);
+    sound(&mut stage, &[0, 1, 2, 3, 4]);
+}
+
+#[test]
+fn one_that_stood_still_calls_nobody_gone_and_a_second_of_its_name_ends_it() {
+    let mut stage = five();
+    stage.signal(3, "-STOP");
+    gone_for(&mut stage, &[0, 1, 2, 4], 3);
+    stage.signal(3, "-CONT");
+    stage.meet(&[0, 1, 2, 3, 4], 3);
+    assert_eq!(stage.word(3).many("gone"), 0);
+    assert_eq!(stage.counted(3, "called_gone"), 0);
+    assert!(stage.counted(3, "stood_still") > 0);
+    // As long as it is there a second process of its name is kept out; while it is stopped that one is taken in.
+    let twin = stage.start_twin(3);
+    stage.until(twin, "its name is taken", |word| word.taken);
+    assert!(!stage.word(twin).admitted && !stage.word(3).ended);
+    stage.signal(3, "-STOP");
+    stage.until(twin, "taken in", |word| word.admitted);
+    stage.signal(3, "-CONT");
+    stage.until(3, "its end as a member", |word| word.ended);
+    let life = stage.word(twin).life;
+    for p in [0, 1, 2, 4] {
+        stage.until(p, "the second one alone", |word| word.seen["n3"] == (life, "here".into()));
+    }
+    sound(&mut stage, &[0, 1, 2, 4]);
+}
+
+#[test]
+fn cut_in_halves_the_larger_goes_on_and_in_one_direction_nobody_goes() {
+    let mut stage = five();
+    // One direction alone, and one pair alone: others vouch.
+    stage.way(0, 1).set(CUT);
+    stage.between(&[2], &[4], CUT);
+    let asked = [stage.counted(0, "heard"), stage.counted(2, "heard")];
+    // Long enough, in what they hear, for each to have been asked many times.
+    while stage.counted(0, "heard") < asked[0] + 120 || stage.counted(2, "heard") < asked[1] + 120 {}
+    assert!((0..5).all(|p| stage.word(p).many("gone") == 0));
+    stage.heal();
+    stage.between(&[0, 1], &[2, 3, 4], CUT);
+    gone_for(&mut stage, &[0, 1], 2);
+    gone_for(&mut stage, &[2, 3, 4], 0);
+    gone_for(&mut stage, &[2, 3, 4], 1);
+    // An operator's word to the smaller side changes nothing, to the larger it does.
+    let asked = stage.asks(0, &["--remove", "n2"]);
+    assert!(asked.status.success());
+    let asked = stage.asks(3, &["--remove", "n1"]);
+    assert!(asked.status.success(), "{}", String::from_utf8_lossy(&asked.stderr));
+    for p in [2, 3, 4] {
+        stage.until(p, "a layout without n1", |word| word.layout == 4 && word.holders == 4);
+    }
+    assert_eq!((stage.word(0).layout, stage.word(1).layout), (3, 3));
+    stage.heal();
+    // Both sides meet, and who was voted out is taken in again.
+    stage.meet(&[0, 1, 2, 3, 4], 5);
+    sound(&mut stage, &[0, 1, 2, 3, 4]);
+}
+
+#[test]
+fn frames_lost_doubled_late_reordered_and_spoilt_harm_nothing() {
+    let mut stage = five();
+    let rough = Trouble {
+        lose: 0.2,
+        double: 0.3,
+        reorder: 0.2,
+        spoil: 0.05,
+        hold: Duration::from_millis(5),
+        cut: false,
+    };
+    stage.between(&[0, 1, 2, 3, 4], &[0, 1, 2, 3, 4], rough);
+    while (0..5).any(|p| {
+        let all = ["link.replayed", "link.unsealed"].map(|name| stage.counted(p, name));
+        all.contains(&0)
+    }) {}
+    stage.heal();
+    stage.between(&[0], &[1, 2, 3, 4], Trouble { hold: Duration::from_secs(2), ..Trouble::default() });
+    stage.until(1, "n0 doubted", |word| word.sees("n0", "doubted") || word.sees("n0", "gone"));
+    stage.heal();
+    stage.meet(&[0, 1, 2, 3, 4], 3);
+    sound(&mut stage, &[0, 1, 2, 3, 4]);
+}
+
+#[test]
+fn keys_change_in_service_half_before_the_other_and_a_strangers_are_none() {
+    let mut stage = five();
+    let new = "8:ffeeddccbbaa99887766554433221100";
+    // Behind the old one at all, then first at two of five, then at all, then alone.
+    for (keys, who) in [
+        (format!("{KEY} {new}"), vec![0, 1, 2, 3, 4]),
+        (format!("{new} {KEY}"), vec![0, 1]),
+        (format!("{new} {KEY}"), vec![2, 3, 4]),
+        (new.to_owned(), vec![0, 1, 2, 3, 4]),
+    ] {
+        for p in who {
+            stage.keys[p] = keys.clone();
+            stage.write(p);
+            stage.signal(p, "-HUP");
+            stage.gateway(p).logged("operator's file read again");
+        }
+        let heard: Vec<u64> = (0..5).map(|p| stage.counted(p, "heard")).collect();
+        while (0..5).any(|p| stage.counted(p, "heard") < heard[p] + 10) {}
+    }
+    for p in 0..5 {
+        assert_eq!((stage.counted(p, "link.unsealed"), stage.counted(p, "called_gone")), (0, 0));
+    }
+    // Who has only the old key is heard by nobody, and sees the others go.
+    stage.keys[4] = KEY.into();
+    stage.kill(4);
+    stage.start(4);
+    gone_for(&mut stage, &[0, 1, 2, 3], 4);
+    assert!(!stage.word(4).admitted);
+    assert!((0..4).any(|p| stage.counted(p, "link.unsealed") > 0));
+    // A faulty file changes nothing and names its key.
+    stage.keys[0] = "nine".into();
+    stage.write(0);
+    stage.signal(0, "-HUP");
+    let said = stage.gateway(0).logged("operator's file not taken");
+    assert!(said.contains("members.keys"), "{said}");
+    let asked = stage.asks(4, &["--at", "127.0.0.1:1"]);
+    assert!(
+        !asked.status.success() && String::from_utf8_lossy(&asked.stderr).contains("nobody answers there")
+    );
+}
+
+#[test]
+fn members_shows_who_is_there_as_a_table_and_as_json() {
+    let mut stage = five();
+    stage.end(2);
+    stage.until(0, "n2 left", |word| word.sees("n2", "left"));
+    let table = String::from_utf8(stage.asks(0, &[]).stdout).unwrap();
+    assert!(table.starts_with("stand in, layout 3 with 5 holders"), "{table}");
+    assert_eq!(table.lines().count(), 7);
+    let json: serde_json::Value = serde_json::from_slice(&stage.asks(0, &["--json"]).stdout).unwrap();
+    let told: Vec<String> = json["members"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|m| format!("{} {} {} holds={} me={}", m["name"], m["zone"], m["seen"], m["holds"], m["me"]))
+        .collect();
+    insta::assert_snapshot!(told.join("\n"));
+    let refused = stage.asks(0, &["--remove", "n1"]);
+    assert!(String::from_utf8_lossy(&refused.stderr).contains("it is here: stop it first"));
+}
+
+#[test]
+fn without_the_block_nothing_listens_and_nothing_is_said() {
+    let build = Build {
+        processes: 2,
+        founders: 0,
+        beat_ms: 100,
+        disk: false,
+        zones: 1,
+        members: false,
+        settings: SETTINGS.into(),
+        known: list(7, true, &[]),
+        seed: 3,
+    };
+    let mut stage = Stage::new(Path::new(env!("CARGO_BIN_EXE_leverpoint")), build);
+    stage.start_all();
+    for p in 0..2 {
+        stage.signal(p, "-USR1");
+        stage.gateway(p).logged("\"peers\"");
+        // Listening sockets of the machine, and which of them are this process's: its own address alone.
+        let of = format!("/proc/{}", stage.gateway(p).child.id());
+        let table = std::fs::read_to_string(format!("{of}/net/tcp")).unwrap();
+        let fields = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+        let listening: Vec<String> =
+            fields.filter(|f| f[3] == "0A").map(|f| format!("socket:[{}]", f[9])).collect();
+        let open = std::fs::read_dir(format!("{of}/fd")).unwrap();
+        let links = open.filter_map(|fd| std::fs::read_link(fd.ok()?.path()).ok());
+        assert_eq!(links.filter(|l| listening.iter().any(|s| l.as_os_str() == s.as_str())).count(), 1);
+        assert!(!stage.gateway(p).said.borrow().iter().any(|line| line.contains("\"member")));
+    }
+}
--- a/members/src/fellow.rs
+++ b/members/src/fellow.rs
@@ -139,7 +139,7 @@
 /// What waits for something to be kept.
 #[derive(Debug)]
 enum After {
-    Send(To, Envelope),
+    Send(To, Box<Envelope>),
     /// This member's own vote in its own proposal.
     Mine(Ballot, Says),
 }
@@ -460,7 +460,7 @@
         }
         self.counts.heard += 1;
         if envelope.me.card.name == self.me.card.name {
-            self.of_me(now, &envelope.me);
+            self.of_me(&envelope.me);
             return std::mem::take(&mut self.out);
         }
         match self.told(now, &envelope.me, Of::Itself) {
@@ -497,7 +497,7 @@
 
     fn rumour(&mut self, now: Tenths, rumour: &Rumour, of: Of) {
         if rumour.card.name == self.me.card.name {
-            self.of_me(now, rumour);
+            self.of_me(rumour);
         } else {
             self.told(now, rumour, of);
         }
@@ -518,7 +518,7 @@
     }
 
     /// What is told of this member's own name.
-    fn of_me(&mut self, now: Tenths, rumour: &Rumour) {
+    fn of_me(&mut self, rumour: &Rumour) {
         let (mine, theirs) = (self.me.card.incarnation, rumour.card.incarnation);
         // At this one's own address nobody else can be there.
         let there = rumour.seen <= Seen::Doubted && rumour.card.address != self.me.card.address;
@@ -551,7 +551,6 @@
             self.out.push(Do::Say(Event::Rises { to: theirs.life + 1 }));
             self.keep();
         }
-        self.looked = self.looked.max(now);
     }
 
     /// Layouts and views that differ are made one.
@@ -681,14 +680,14 @@
         let Some(to) = self.address_of(member) else { return };
         let envelope = self.envelope(Some(member), body);
         let number = self.keep();
-        self.waiting.push_back((number, After::Send(to, envelope)));
+        self.waiting.push_back((number, After::Send(to, Box::new(envelope))));
     }
 
     /// All up to this number is kept.
     pub fn kept(&mut self, now: Tenths, number: u64) -> Vec<Do> {
         while let Some((_, after)) = self.waiting.pop_front_if(|(n, _)| *n <= number) {
             match after {
-                After::Send(to, envelope) => self.out.push(Do::Send { to, envelope: Box::new(envelope) }),
+                After::Send(to, envelope) => self.out.push(Do::Send { to, envelope }),
                 After::Mine(ballot, says) => {
                     let me = holder(&self.me.card);
                     self.vote_came(now, me, ballot, says);
@@ -793,7 +792,7 @@
         self.proposal = Some((proposal, now + PROPOSAL * self.terms.beat));
         let says = self.voice.prepare(ballot);
         self.mine(ballot, says);
-        self.to_voters(&Body::Prepare { version, ballot });
+        self.ask_voters(&Body::Prepare { version, ballot });
     }
 
     fn give_up(&mut self, now: Tenths) {
@@ -807,7 +806,7 @@
         self.waiting.push_back((number, After::Mine(ballot, says)));
     }
 
-    fn to_voters(&mut self, body: &Body) {
+    fn ask_voters(&mut self, body: &Body) {
         let Some((proposal, _)) = &self.proposal else { return };
         let voters: Vec<usize> =
             proposal.voters().filter_map(|h| self.view.find(&h.name)).map(|(member, _)| member).collect();
@@ -837,7 +836,7 @@
                     return self.give_up(now);
                 }
                 self.mine(ballot, says);
-                self.to_voters(&Body::Accept { version, ballot, layout });
+                self.ask_voters(&Body::Accept { version, ballot, layout });
             }
             Next::Agreed(layout) => {
                 self.take_layout(layout.clone());
--- a/members/tests/members.rs
+++ b/members/tests/members.rs
@@ -168,8 +168,8 @@
     let names: Vec<String> = (0..many).map(|n| format!("n{n}")).collect();
     let first: Vec<&str> = names.iter().take(founders).map(String::as_str).collect();
     let mut fleet = Fleet::new(&first);
-    for n in 0..many {
-        fleet.start(&names[n], &format!("p{n}"), 100);
+    for (n, name) in names.iter().enumerate() {
+        fleet.start(name, &format!("p{n}"), 100);
     }
     fleet
 }
--- a/seal/src/lib.rs
+++ b/seal/src/lib.rs
@@ -65,16 +65,35 @@
         Some(code)
     }
 
-    /// The text of what is said, signed for a bearer that it does not name; none where there is no key. A kind always
-    /// says as much, or says how much it says, so that nothing of a bearer can be taken for something said.
-    pub fn seal(&self, kind: u8, said: &[u8], bearer: &[u8]) -> Option<String> {
+    /// What is said, signed for a bearer that it does not name: kind, key, what is said, half of a code; none where there
+    /// is no key. A kind always says as much, or says how much it says, so that nothing of a bearer can be taken for
+    /// something said.
+    pub fn sign(&self, kind: u8, said: &[u8], bearer: &[u8]) -> Option<Vec<u8>> {
         let key = self.0.first()?;
-        let mut sealed = Vec::with_capacity(HEAD + said.len() + CODE);
+        let mut sealed = Vec::with_capacity(said.len() + AROUND);
         sealed.extend([kind, key.number]);
         sealed.extend(said);
         let code = Self::code(key, &sealed, bearer)?.finalize().into_bytes();
         sealed.extend(&code[..CODE]);
-        Some(BASE64URL_NOPAD.encode(&sealed))
+        Some(sealed)
+    }
+
+    /// What such bytes say to that bearer.
+    pub fn check(&self, kind: u8, bytes: &[u8], bearer: &[u8]) -> Result<Vec<u8>, Unsealed> {
+        let said = bytes.len().checked_sub(CODE).filter(|said| *said >= HEAD).ok_or(Unsealed::Mangled)?;
+        let (sealed, code) = bytes.split_at(said);
+        if sealed[0] != kind {
+            return Err(Unsealed::Mangled);
+        }
+        let key = self.0.iter().find(|key| key.number == sealed[1]).ok_or(Unsealed::NoKey)?;
+        let expected = Self::code(key, sealed, bearer).ok_or(Unsealed::NoKey)?;
+        expected.verify_truncated_left(code).map_err(|_| Unsealed::Forged)?;
+        Ok(sealed[HEAD..].to_vec())
+    }
+
+    /// The same as text.
+    pub fn seal(&self, kind: u8, said: &[u8], bearer: &[u8]) -> Option<String> {
+        self.sign(kind, said, bearer).map(|sealed| BASE64URL_NOPAD.encode(&sealed))
     }
 
     /// What a text of at most that many bytes says to that bearer.
@@ -82,15 +101,7 @@
         if text.len() > length(most) {
             return Err(Unsealed::Mangled);
         }
-        let mut bytes = BASE64URL_NOPAD.decode(text.as_bytes()).map_err(|_| Unsealed::Mangled)?;
-        let said = bytes.len().checked_sub(CODE).filter(|said| *said >= HEAD).ok_or(Unsealed::Mangled)?;
-        let code = bytes.split_off(said);
-        if bytes[0] != kind {
-            return Err(Unsealed::Mangled);
-        }
-        let key = self.0.iter().find(|key| key.number == bytes[1]).ok_or(Unsealed::NoKey)?;
-        let expected = Self::code(key, &bytes, bearer).ok_or(Unsealed::NoKey)?;
-        expected.verify_truncated_left(&code).map_err(|_| Unsealed::Forged)?;
-        Ok(bytes.split_off(HEAD))
+        let bytes = BASE64URL_NOPAD.decode(text.as_bytes()).map_err(|_| Unsealed::Mangled)?;
+        self.check(kind, &bytes, bearer)
     }
 }
--- a/sim/src/play.rs
+++ b/sim/src/play.rs
@@ -214,7 +214,7 @@
             } else {
                 Operator::default()
             };
-            let gateway = Gateway::start(node, operator, Listener::World(door), log);
+            let gateway = Gateway::start(node, operator, Listener::World(door), None, log);
             play.gateways.borrow_mut()[n] = gateway.ok().map(Rc::new);
             play.sim.note("gateway", || format!("{n} life {life} serves"));
         };
--- a/stands/src/lib.rs
+++ b/stands/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod gateway;
 pub mod member;
 pub mod pace;
+pub mod relay;
 pub mod server;
+pub mod stage;
 pub mod values;
 pub mod wire;
--- /dev/null
+++ b/stands/src/stage.rs
@@ -0,0 +1,362 @@
+//! Owns a fleet of real processes: each with a folder of its own, between each two a relay, and what a script may do to
+//! either.
+//!
+//! It must never know what a process holds but by its own word: its log lines in JSON and its command line.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use fastrand::Rng;
+use serde_json::Value;
+
+use crate::agent::agent;
+use crate::gateway::{self, Gateway};
+use crate::relay::{Trouble, Way, relay};
+use crate::wire::{LONG, http};
+
+/// How the fleet is set up.
+#[derive(Clone, Debug)]
+pub struct Build {
+    pub processes: usize,
+    /// So many of them agree on the first layout.
+    pub founders: usize,
+    pub beat_ms: u64,
+    /// Whether they keep what they hold on a disk.
+    pub disk: bool,
+    /// Processes stand in so many zones in turn.
+    pub zones: usize,
+    /// Whether the operator's file makes them members at all.
+    pub members: bool,
+    /// The configuration's settings, and the list of servers that is known.
+    pub settings: String,
+    pub known: String,
+    pub seed: u64,
+}
+
+/// What a process has said of itself, line by line.
+#[derive(Clone, Debug, Default)]
+pub struct Word {
+    pub admitted: bool,
+    pub ended: bool,
+    pub taken: bool,
+    pub layout: u64,
+    pub holders: u64,
+    pub forks: u64,
+    pub life: u64,
+    pub memory: String,
+    /// By name: life, and how it is seen.
+    pub seen: BTreeMap<String, (u64, String)>,
+}
+
+impl Word {
+    fn take(&mut self, line: &Value) {
+        let text = |key: &str| line[key].as_str().unwrap_or_default().to_owned();
+        match line["msg"].as_str().unwrap_or_default() {
+            "member admitted" => self.admitted = true,
+            "member" if line["life"].is_u64() => {
+                (self.life, self.memory) = (line["life"].as_u64().unwrap_or(0), text("memory"));
+                self.layout = line["layout"].as_u64().unwrap_or(0);
+            }
+            "member seen" => {
+                let life = line["life"].as_u64().unwrap_or(0);
+                self.seen.insert(text("who"), (life, text("seen")));
+            }
+            "layout" => {
+                self.layout = line["version"].as_u64().unwrap_or(0);
+                self.holders = line["holders"].as_u64().unwrap_or(0);
+            }
+            "two layouts of one version" => self.forks += 1,
+            said if said.starts_with("member: the name is taken") => self.taken = true,
+            said if said.starts_with("member: a later life of this name is there") => self.ended = true,
+            _ => {}
+        }
+    }
+
+    pub fn sees(&self, name: &str, how: &str) -> bool {
+        self.seen.get(name).is_some_and(|(_, seen)| seen == how)
+    }
+
+    /// How many it sees so.
+    pub fn many(&self, how: &str) -> usize {
+        self.seen.values().filter(|(_, seen)| seen == how).count()
+    }
+}
+
+/// One process of the fleet, running or not.
+struct Place {
+    name: String,
+    gateway: Option<Gateway>,
+    word: Word,
+    link: Arc<Mutex<SocketAddr>>,
+    folder: PathBuf,
+    file: PathBuf,
+}
+
+pub struct Stage {
+    program: PathBuf,
+    build: Build,
+    root: PathBuf,
+    places: Vec<Place>,
+    /// From, to; a process that came in later under a name already there has that one's ways.
+    ways: Vec<Vec<Way>>,
+    relays: Vec<Vec<Option<SocketAddr>>>,
+    pub keys: Vec<String>,
+}
+
+pub const KEY: &str = "7:00112233445566778899aabbccddeeff";
+
+/// A port that is free just now, on a loopback address that no other stage has.
+fn free() -> SocketAddr {
+    let address = gateway::free_address();
+    address.parse().unwrap()
+}
+
+impl Stage {
+    /// Relays stand, no process runs yet.
+    pub fn new(program: &Path, build: Build) -> Stage {
+        let mark = free().to_string().replace([':', '.'], "-");
+        let root = std::env::temp_dir().join(format!("leverpoint-stage-{}-{mark}", std::process::id()));
+        let mut chance = Rng::with_seed(build.seed);
+        let n = build.processes;
+        let places: Vec<Place> = (0..n)
+            .map(|p| Place {
+                name: format!("n{p}"),
+                gateway: None,
+                word: Word::default(),
+                link: Arc::new(Mutex::new(free())),
+                folder: root.join(format!("p{p}")),
+                file: root.join(format!("p{p}.hcl")),
+            })
+            .collect();
+        std::fs::create_dir_all(&root).unwrap();
+        let ways: Vec<Vec<Way>> = (0..n).map(|_| (0..n).map(|_| Way::default()).collect()).collect();
+        let mut between = |a: usize, b: usize| {
+            let (forth, back) = (ways[a][b].clone(), ways[b][a].clone());
+            (a != b).then(|| relay(places[b].link.clone(), forth, back, chance.u64(..)))
+        };
+        let relays = (0..n).map(|a| (0..n).map(|b| between(a, b)).collect()).collect();
+        Stage { program: program.to_owned(), build, root, places, ways, relays, keys: vec![KEY.into(); n] }
+    }
+
+    pub fn many(&self) -> usize {
+        self.places.len()
+    }
+
+    pub fn name(&self, p: usize) -> &str {
+        &self.places[p].name
+    }
+
+    /// Whose relays it uses: its own, or those of the first of its name.
+    fn stands_for(&self, p: usize) -> usize {
+        self.places.iter().position(|place| place.name == self.places[p].name).unwrap_or(p)
+    }
+
+    fn text(&self, p: usize) -> String {
+        let place = &self.places[p];
+        if !self.build.members {
+            return String::new();
+        }
+        let from = self.stands_for(p);
+        let reached = |to: usize| self.relays[from][to].map(|at| (self.places[to].name.clone(), at));
+        let ways: Vec<_> = (0..self.build.processes).filter_map(reached).collect();
+        let reach: Vec<_> = ways.iter().map(|(name, at)| format!("\"{name}\" = \"{at}\"")).collect();
+        let seeds: Vec<_> = ways.iter().take(3).map(|(_, at)| format!("\"{at}\"")).collect();
+        let founders: Vec<_> = (0..self.build.founders).map(|f| format!("\"n{f}\"")).collect();
+        let disk = format!("  disk = \"{}\"\n", place.folder.display());
+        format!(
+            "members {{\n  listen = \"{}\"\n  fleet = \"stage\"\n  beat = \"{}ms\"\n  zone = \"z{}\"\n  seeds = [{}]\n  \
+             reach = {{ {} }}\n  founders = [{}]\n  keys = [{}]\n{}}}\n",
+            place.link.lock().unwrap(),
+            self.build.beat_ms,
+            from % self.build.zones,
+            seeds.join(", "),
+            reach.join(", "),
+            founders.join(", "),
+            self.keys[p].split(' ').map(|key| format!("\"{key}\"")).collect::<Vec<_>>().join(", "),
+            if self.build.disk { disk } else { String::new() }
+        )
+    }
+
+    /// Writes the operator's file anew, as its keys and ways are now.
+    pub fn write(&self, p: usize) {
+        std::fs::write(&self.places[p].file, self.text(p)).unwrap();
+    }
+
+    /// Starts a process that does not run.
+    pub fn start(&mut self, p: usize) {
+        assert!(self.places[p].gateway.is_none(), "it runs");
+        // Its connections may still hold the old port for a moment; the relays are told of the new one.
+        *self.places[p].link.lock().unwrap() = free();
+        self.write(p);
+        let agent = agent();
+        let _ = agent.say.send(http(&self.build.known));
+        let address = gateway::free_address();
+        let name = &self.places[p].name;
+        let text = gateway::config(&address, &agent.address, &self.build.known, &self.build.settings);
+        let text = text.replace("\"name\":\"n0\"", &format!("\"name\":\"{name}\""));
+        let file = self.places[p].file.display().to_string();
+        let words: &[&str] =
+            if self.build.members { &["--operator", &file, "--log", "json"] } else { &["--log", "json"] };
+        let started = gateway::start(&text, address, agent, &self.program, words);
+        let mut word = Word::default();
+        started.said.borrow().iter().for_each(|line| word.take(&parsed(line)));
+        self.places[p].word = word;
+        self.places[p].gateway = Some(started);
+    }
+
+    pub fn start_all(&mut self) {
+        (0..self.many()).for_each(|p| self.start(p));
+    }
+
+    /// A second process under the name of one, with a folder of its own; its place.
+    pub fn start_twin(&mut self, of: usize) -> usize {
+        let p = self.places.len();
+        self.places.push(Place {
+            name: self.places[of].name.clone(),
+            gateway: None,
+            word: Word::default(),
+            link: Arc::new(Mutex::new(free())),
+            folder: self.root.join(format!("p{p}")),
+            file: self.root.join(format!("p{p}.hcl")),
+        });
+        self.keys.push(self.keys[of].clone());
+        self.start(p);
+        p
+    }
+
+    pub fn gateway(&self, p: usize) -> &Gateway {
+        self.places[p].gateway.as_ref().expect("it runs")
+    }
+
+    pub fn runs(&self, p: usize) -> bool {
+        self.places[p].gateway.is_some()
+    }
+
+    /// SIGKILL.
+    pub fn kill(&mut self, p: usize) {
+        self.places[p].gateway = None;
+    }
+
+    /// SIGKILL, and its folder is gone with it.
+    pub fn burn(&mut self, p: usize) {
+        self.kill(p);
+        let _ = std::fs::remove_dir_all(&self.places[p].folder);
+    }
+
+    /// SIGTERM, until it has ended.
+    pub fn end(&mut self, p: usize) {
+        if let Some(mut gateway) = self.places[p].gateway.take() {
+            gateway.signal("-TERM");
+            let _ = gateway.child.wait();
+        }
+    }
+
+    pub fn signal(&self, p: usize, name: &str) {
+        self.gateway(p).signal(name);
+    }
+
+    pub fn folder(&self, p: usize) -> &Path {
+        &self.places[p].folder
+    }
+
+    /// What happens to frames from one to the other.
+    pub fn way(&self, from: usize, to: usize) -> &Way {
+        &self.ways[from][to]
+    }
+
+    /// The same on all ways between these two sides, in both directions.
+    pub fn between(&self, one: &[usize], other: &[usize], trouble: Trouble) {
+        for a in one {
+            for b in other.iter().filter(|b| a != *b) {
+                self.ways[*a][*b].set(trouble);
+                self.ways[*b][*a].set(trouble);
+            }
+        }
+    }
+
+    pub fn heal(&self) {
+        self.ways.iter().flatten().for_each(|way| way.set(Trouble::default()));
+    }
+
+    /// What a process has said by now.
+    pub fn word(&mut self, p: usize) -> &Word {
+        let place = &mut self.places[p];
+        if let Some(gateway) = &place.gateway {
+            while let Ok(line) = gateway.log.try_recv() {
+                place.word.take(&parsed(&line));
+            }
+        }
+        &place.word
+    }
+
+    /// Waits, line by line, until a process has said so much; how long that took. None after a long while.
+    pub fn waits(&mut self, p: usize, enough: impl Fn(&Word) -> bool) -> Option<std::time::Duration> {
+        let began = Instant::now();
+        self.word(p);
+        let place = &mut self.places[p];
+        while !enough(&place.word) {
+            let gateway = place.gateway.as_ref()?;
+            let line = gateway.log.recv_timeout(LONG.checked_sub(began.elapsed())?).ok()?;
+            place.word.take(&parsed(&line));
+        }
+        Some(began.elapsed())
+    }
+
+    /// The same; a test ends where it does not come.
+    pub fn until(&mut self, p: usize, what: &str, enough: impl Fn(&Word) -> bool) {
+        if self.waits(p, enough).is_none() {
+            panic!("{} has not come to: {what}; it says {:?}", self.name(p), self.places[p].word);
+        }
+    }
+
+    /// Until each of these sees all the others of them, and goes by a layout of at least this version.
+    pub fn meet(&mut self, who: &[usize], version: u64) {
+        let names: Vec<String> = who.iter().map(|p| self.places[*p].name.clone()).collect();
+        for p in who {
+            let others: Vec<String> =
+                names.iter().filter(|name| **name != self.places[*p].name).cloned().collect();
+            self.until(*p, &format!("layout {version} and all here"), |word| {
+                word.layout >= version && others.iter().all(|other| word.sees(other, "here"))
+            });
+        }
+    }
+
+    /// A figure of the process's own counters as a member.
+    pub fn counted(&mut self, p: usize, name: &str) -> u64 {
+        self.signal(p, "-USR1");
+        let gateway = self.gateway(p);
+        let mut lines = Vec::new();
+        let figure = loop {
+            let line = gateway.log.recv_timeout(LONG).expect("its counters");
+            let value = parsed(&line);
+            if value["msg"] == "member" && value["all"].is_string() {
+                let all = value["all"].as_str().unwrap_or_default().to_owned();
+                break gateway::counted(&all, name).and_then(|n| n.parse().ok()).unwrap_or(0);
+            }
+            lines.push(value);
+        };
+        lines.iter().for_each(|line| self.places[p].word.take(line));
+        figure
+    }
+
+    /// The program's own command line against a process.
+    pub fn asks(&self, p: usize, words: &[&str]) -> Output {
+        let file = self.places[p].file.display().to_string();
+        Command::new(&self.program).arg("members").args(["--operator", &file]).args(words).output().unwrap()
+    }
+}
+
+fn parsed(line: &str) -> Value {
+    serde_json::from_str(line).unwrap_or_default()
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        self.places.iter_mut().for_each(|place| place.gateway = None);
+        let _ = std::fs::remove_dir_all(&self.root);
+    }
+}
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -7,6 +7,7 @@
 mod disk;
 mod frame;
 mod log;
+pub mod note;
 mod writer;
 
 pub use disk::{Disk, Folder};
--- a/store/tests/store.rs
+++ b/store/tests/store.rs
@@ -280,3 +280,38 @@
     (1..2_000u64)
         .for_each(|n| assert!(read.positions.get(&n).is_some_and(|at| *at >= n as i64) || floor >= n as i64));
 }
+
+#[test]
+fn a_note_is_the_newest_that_was_synced_or_none() {
+    use leverpoint_store::note::{self, Read};
+    let mut disk = Memory::default();
+    assert_eq!(note::read(&mut disk).unwrap(), Read::Nothing);
+    note::keep(&mut disk, b"one").unwrap();
+    note::keep(&mut disk, b"two and longer").unwrap();
+    // Power lost with the next one under way: at each byte of it, and with its rename lost.
+    for room in 0..16 {
+        let mut full = Memory { room: Some(room), ..disk.clone() };
+        let kept = note::keep(&mut full, b"three as well").is_ok();
+        let mut after = full.crash(0.5);
+        let expected: &[u8] = if kept { b"three as well" } else { b"two and longer" };
+        assert_eq!(note::read(&mut after).unwrap(), Read::Whole(expected.to_vec()), "room {room}");
+        note::keep(&mut after, b"four").unwrap();
+        assert_eq!(note::read(&mut after).unwrap(), Read::Whole(b"four".to_vec()));
+    }
+    let mut lost = disk.clone();
+    lost.lost_renames = true;
+    note::keep(&mut lost, b"three").unwrap();
+    assert_eq!(note::read(&mut lost.crash(0.0)).unwrap(), Read::Whole(b"two and longer".to_vec()));
+    // Any bit flipped, any part missing.
+    let (name, (bytes, _)) = disk.files.iter().next().map(|(n, b)| (n.clone(), b.clone())).unwrap();
+    for bit in 0..bytes.len() * 8 {
+        let mut spoilt = disk.clone();
+        spoilt.files.get_mut(&name).unwrap().0[bit / 8] ^= 1 << (bit % 8);
+        assert_eq!(note::read(&mut spoilt).unwrap(), Read::Spoilt, "bit {bit}");
+    }
+    for length in 0..bytes.len() {
+        let mut cut = disk.clone();
+        cut.files.get_mut(&name).unwrap().0.truncate(length);
+        assert_eq!(note::read(&mut cut).unwrap(), Read::Spoilt, "length {length}");
+    }
+}
