--- a/gateway/tests/fleet.rs
+++ b/gateway/tests/fleet.rs
@@ -30,6 +30,7 @@
         disk: true,
         zones: 2,
         members: true,
+        relays: true,
         settings: SETTINGS.into(),
         known: list(7, true, &[]),
         seed: 11,
@@ -50,7 +51,8 @@
 /// No layout forked, and nobody was believed who had ended.
 fn sound(stage: &mut Stage, who: &[usize]) {
     for p in who {
-        assert_eq!((stage.counted(*p, "forks"), stage.word(*p).forks), (0, 0));
+        let forks = stage.counted(*p, "forks");
+        assert_eq!((forks, stage.word(*p).forks, stage.word(*p).old), (0, 0, 0));
     }
 }
 
@@ -223,6 +225,7 @@
         disk: false,
         zones: 1,
         members: false,
+        relays: false,
         settings: SETTINGS.into(),
         known: list(7, true, &[]),
         seed: 3,
--- a/members/src/fellow.rs
+++ b/members/src/fellow.rs
@@ -113,6 +113,8 @@
     pub no_room: u64,
     pub doubts: u64,
     pub gone: u64,
+    /// Of both, what this member has found itself and nobody has told it.
+    pub found: u64,
     /// What was told of this member and contradicted.
     pub contradicted: u64,
     pub stood_still: u64,
@@ -288,14 +290,13 @@
             // Whoever did not answer meanwhile may have: nobody is judged by it.
             self.counts.stood_still += 1;
             self.probe.out = None;
-            self.view.stood_still(span);
+            self.view.stood_still(now, span);
             self.proposal = None;
             self.out.push(Do::Say(Event::StoodStill { span }));
         }
         self.widen(now);
         for member in self.view.doubted_since(now - self.terms.doubt(self.many())) {
-            let told = self.view.found(now, member, Input::TimeUp);
-            self.took_in(told);
+            self.finds(now, member, Input::TimeUp);
         }
         if now >= self.next_beat {
             self.beat(now);
@@ -336,8 +337,7 @@
         self.next_beat = now + self.terms.beat;
         self.beats += 1;
         if let Some(Question { member, .. }) = self.probe.out.take() {
-            let told = self.view.found(now, member, Input::Silent);
-            self.took_in(told);
+            self.finds(now, member, Input::Silent);
         }
         for member in self.view.gone_since(now - self.terms.keeps) {
             self.forgets(member);
@@ -436,6 +436,12 @@
         told
     }
 
+    fn finds(&mut self, now: Tenths, member: usize, input: Input) {
+        let told = self.view.found(now, member, input);
+        self.counts.found += u64::from(matches!(told, Told::Changed { .. }));
+        self.took_in(told);
+    }
+
     fn took_in(&mut self, told: Told) {
         let Told::Changed { member, before, effect } = told else { return };
         let Some(held) = self.view.get(member) else { return };
--- a/members/src/view.rs
+++ b/members/src/view.rs
@@ -201,11 +201,11 @@
         self.all().filter(|(_, held)| over(held)).map(|(member, _)| member).collect()
     }
 
-    /// For so long nothing was seen: doubts last on.
-    pub fn stood_still(&mut self, span: Tenths) {
+    /// For so long nothing was seen: doubts last on, but none from later than now.
+    pub fn stood_still(&mut self, now: Tenths, span: Tenths) {
         for held in self.held.iter_mut().flatten() {
             if held.seen() == Seen::Doubted {
-                held.since += span;
+                held.since = (held.since + span).min(now);
             }
         }
     }
--- a/rig/src/honest.rs
+++ b/rig/src/honest.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
+use leverpoint_stands::client::Judged;
 use leverpoint_stands::client::judged;
-use leverpoint_stands::crowd::Judged;
 use leverpoint_stands::values::made;
 use leverpoint_stands::wire::{STARTUP, query};
 
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -1,8 +1,9 @@
-//! Owns the command line of the experiments: `leverpoint-rig run slow`, `sessions`, `price`.
+//! Owns the command line of the experiments: `leverpoint-rig run slow`, `sessions`, `price`, `members`.
 //!
 //! It plays and measures; what a figure is worth is said in docs/. It must never send anything beyond loopback.
 
 mod honest;
+mod members;
 mod price;
 mod record;
 mod report;
@@ -16,9 +17,10 @@
 use bpaf::{OptionParser, Parser, construct, long};
 
 enum Asked {
-    Slow(slow::Asked),
+    Slow(record::Asked),
     Sessions(sessions::Asked),
     Price(sessions::Asked),
+    Members(members::Asked),
 }
 
 fn words() -> OptionParser<Asked> {
@@ -42,7 +44,7 @@
     let program = program.optional();
     let plain =
         long("plain").help("Starts the gateway without an operator's file, as older ones want").switch();
-    let slow = construct!(slow::Asked {
+    let slow = construct!(record::Asked {
         readers,
         writers,
         tricklers,
@@ -60,10 +62,26 @@
     let slow = slow.command("slow").map(Asked::Slow);
     let sessions = sessions_words().command("sessions").map(Asked::Sessions);
     let price = sessions_words().command("price").map(Asked::Price);
-    let run = construct!([slow, sessions, price]).to_options().descr("Plays an experiment").command("run");
+    let members = members_words().command("members").map(Asked::Members);
+    let run =
+        construct!([slow, sessions, price, members]).to_options().descr("Plays an experiment").command("run");
     run.to_options().descr("Loads and experiments for leverpoint")
 }
 
+fn members_words() -> OptionParser<members::Asked> {
+    let faults = long("faults").help("Faults, one after the other").argument::<usize>("N").fallback(200);
+    let short = long("short").help("Small fleets and short measures").switch();
+    let seed = long("seed").help("For all that is left to chance").argument::<u64>("N").fallback(1);
+    let out = long("out").help("Where tables and charts are written").argument::<PathBuf>("DIR");
+    let out = out.fallback("target/rig".into());
+    let program = long("program").help("The gateway; else the one beside this program").argument("FILE");
+    let program = program.optional();
+    let all = construct!(members::Asked { faults, short, seed, out, program });
+    all.to_options().descr(
+        "Processes of a fleet are killed, burnt, stopped, cut off; who sees it when, and what it costs",
+    )
+}
+
 fn sessions_words() -> OptionParser<sessions::Asked> {
     let mode =
         long("mode").help("How gateways know of writes: none, carried, disk").argument::<String>("MODE");
@@ -94,6 +112,10 @@
             .map(|line| (serde_json::to_string(&line).unwrap_or_default(), line.lost + line.wrong == 0)),
         Asked::Sessions(asked) => sessions::run(&asked)
             .map(|line| (serde_json::to_string(&line).unwrap_or_default(), line.missing + line.wrong == 0)),
+        Asked::Members(asked) => members::run(&asked).map(|line| {
+            let kept = line.forks + line.false_gone + line.old_incarnation_believed == 0;
+            (serde_json::to_string(&line).unwrap_or_default(), kept)
+        }),
         Asked::Price(asked) => price::run(&asked)
             .map(|line| (serde_json::to_string(&line).unwrap_or_default(), line.missing == 0)),
     };
--- a/rig/src/price.rs
+++ b/rig/src/price.rs
@@ -9,15 +9,15 @@
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
+use leverpoint_stands::client::Judged;
 use leverpoint_stands::client::judged;
-use leverpoint_stands::crowd::Judged;
 use leverpoint_stands::gateway::Gateway;
 use leverpoint_stands::member::{Made, Set, serving};
 use leverpoint_stands::values::made;
 use plotters::prelude::*;
 use serde::Serialize;
 
-use crate::sessions::{Asked, BUILD, MEMBERS, WORK};
+use crate::sessions::{self, Asked, BUILD, MEMBERS, WORK};
 use crate::stage;
 
 /// Shares of session reads at the primary, in the five seconds from each event on.
@@ -93,7 +93,7 @@
     let program = stage::program(&asked.program)?;
     let (set, _members, known) = serving(BUILD, MEMBERS, WORK);
     let mut gateways: Vec<Gateway> =
-        (0..GATEWAYS).map(|n| stage::start(asked, &program, &known, &format!("price-{n}"))).collect();
+        (0..GATEWAYS).map(|n| sessions::start(asked, &program, &known, &format!("price-{n}"))).collect();
     let addresses: Vec<Mutex<String>> = gateways.iter().map(|g| Mutex::new(g.address.clone())).collect();
     let (over, began) = (AtomicBool::new(false), Instant::now());
     let (rows, missing) = thread::scope(|scope| {
@@ -104,7 +104,7 @@
             sleep(Duration::from_secs(at).saturating_sub(began.elapsed()));
             for n in 0..many {
                 // In place of the one before, which is killed.
-                gateways[n] = stage::start(asked, &program, &known, &format!("price-{n}"));
+                gateways[n] = sessions::start(asked, &program, &known, &format!("price-{n}"));
                 if let Ok(mut address) = addresses[n].lock() {
                     address.clone_from(&gateways[n].address);
                 }
--- a/rig/src/record.rs
+++ b/rig/src/record.rs
@@ -1,8 +1,12 @@
-//! Owns what honest clients have measured: a histogram and a count a second for each period.
+//! Owns what honest clients have measured beside slow ones: what was asked for, a histogram and a count a second for each
+//! period, the figures.
 //!
 //! It must never drop a measure silently: what is longer than it can hold counts as the longest.
 
+use std::path::PathBuf;
+
 use hdrhistogram::Histogram;
+use serde::Serialize;
 
 /// Longest span that is told apart, in microseconds.
 const LONGEST: u64 = 60_000_000;
@@ -83,3 +87,35 @@
         self.answered as f64 / self.asked.max(1) as f64
     }
 }
+
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub readers: usize,
+    pub writers: usize,
+    pub tricklers: usize,
+    pub memory_mb: usize,
+    pub sockets: usize,
+    pub pairs: usize,
+    pub seed: u64,
+    pub short: bool,
+    pub out: PathBuf,
+    pub without: bool,
+    pub plain: bool,
+    pub program: Option<PathBuf>,
+}
+
+/// What a run has come to: the honest clients' figures in slow periods over those in clean ones.
+#[derive(Debug, Serialize)]
+pub struct Figures {
+    pub pairs: usize,
+    pub answered_ratio: f64,
+    pub p50_ratio: f64,
+    pub p99_ratio: f64,
+    /// Answers in the worst second.
+    pub worst_second_ratio: f64,
+    pub peak_rss_mb: f64,
+    pub held_peak_bytes: u64,
+    pub let_go: u64,
+    pub lost: u64,
+    pub wrong: u64,
+}
--- a/rig/src/report.rs
+++ b/rig/src/report.rs
@@ -9,8 +9,7 @@
 use leverpoint_stands::crowd::Seen;
 use plotters::prelude::*;
 
-use crate::record::Record;
-use crate::slow::{Asked, Figures};
+use crate::record::{Asked, Figures, Record};
 
 const PERCENTS: [f64; 4] = [50.0, 90.0, 99.0, 99.9];
 
--- a/rig/src/sessions.rs
+++ b/rig/src/sessions.rs
@@ -12,14 +12,14 @@
 use fastrand::Rng;
 use hdrhistogram::Histogram;
 use leverpoint_emulator::set::Build;
+use leverpoint_stands::client::Judged;
 use leverpoint_stands::client::{judged, noticed};
-use leverpoint_stands::crowd::Judged;
 use leverpoint_stands::gateway::Gateway;
 use leverpoint_stands::member::{PLAIN, Set, serving};
 use leverpoint_stands::values::made;
 use serde::Serialize;
 
-use crate::stage;
+use crate::stage::{self, PATIENCE};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -61,7 +61,6 @@
 /// Replication within a data centre, on the slow side.
 pub const BUILD: Build = Build { lag: 150, ..PLAIN };
 pub const WORK: Duration = Duration::from_millis(2);
-pub const PATIENCE: Duration = Duration::from_millis(2_000);
 
 /// What one lane has measured.
 struct Record {
@@ -86,7 +85,7 @@
 impl Lane<'_> {
     fn start(&mut self, nth: usize) {
         let name = format!("{}-{nth}", self.name);
-        self.gateways[nth] = Some(stage::start(self.asked, self.program, self.known, &name));
+        self.gateways[nth] = Some(start(self.asked, self.program, self.known, &name));
     }
 
     fn id(&mut self) -> String {
@@ -172,7 +171,7 @@
 }
 
 /// The operator's file of one gateway, and its folder where it keeps one.
-pub fn operator(asked: &Asked, gateway: &str) -> std::io::Result<String> {
+fn operator(asked: &Asked, gateway: &str) -> std::io::Result<String> {
     std::fs::create_dir_all(&asked.out)?;
     let number = "  number = \"8c1f30d27a5be964\"\n";
     let more = match asked.mode {
@@ -188,6 +187,12 @@
     Ok(file.display().to_string())
 }
 
+/// A gateway that follows sessions as it is asked to.
+pub fn start(asked: &Asked, program: &Path, known: &str, name: &str) -> Gateway {
+    let operator = operator(asked, name).expect("a file is written");
+    stage::start(Some(&operator).filter(|_| !asked.without), program, known)
+}
+
 pub fn run(asked: &Asked) -> Result<Figures, String> {
     let program = stage::program(&asked.program)?;
     let (set, _members, known) = serving(BUILD, MEMBERS, WORK);
--- a/rig/src/slow.rs
+++ b/rig/src/slow.rs
@@ -3,7 +3,6 @@
 //! It must never count a client that is slow among the honest ones.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 use std::thread::sleep;
@@ -15,44 +14,11 @@
 use leverpoint_stands::member::{Member, PLAIN, Set, serving};
 use leverpoint_stands::pace::Pace;
 use leverpoint_stands::wire::http;
-use serde::Serialize;
 
 use crate::honest::{Honest, Line};
-use crate::record::Record;
+use crate::record::{Asked, Figures, Record};
 use crate::report;
-use crate::stage;
-
-#[derive(Clone, Debug)]
-pub struct Asked {
-    pub readers: usize,
-    pub writers: usize,
-    pub tricklers: usize,
-    pub memory_mb: usize,
-    pub sockets: usize,
-    pub pairs: usize,
-    pub seed: u64,
-    pub short: bool,
-    pub out: PathBuf,
-    pub without: bool,
-    pub plain: bool,
-    pub program: Option<PathBuf>,
-}
-
-/// What a run has come to: the honest clients' figures in slow periods over those in clean ones.
-#[derive(Debug, Serialize)]
-pub struct Figures {
-    pub pairs: usize,
-    pub answered_ratio: f64,
-    pub p50_ratio: f64,
-    pub p99_ratio: f64,
-    /// Answers in the worst second.
-    pub worst_second_ratio: f64,
-    pub peak_rss_mb: f64,
-    pub held_peak_bytes: u64,
-    pub let_go: u64,
-    pub lost: u64,
-    pub wrong: u64,
-}
+use crate::stage::{self, SETTINGS, cpu_s};
 
 const HONEST: usize = 32;
 /// A server's work for a command: far above the noise of a busy machine, far below any target.
@@ -63,20 +29,6 @@
 /// After a slow period, what it left behind passes before the next clean one begins.
 const SETTLES: Duration = Duration::from_millis(2_500);
 
-pub const SETTINGS: &str = r#"{"balancers": 1, "me": 0, "tickMs": 5.0, "zone": 0, "zones": ["a"], "discovery": "pushed",
-    "contract": {"answerSlackMs": 20.0, "coldMs": 9000.0, "fallMs": 1500.0, "fallMultiple": 2.5, "startCapacity": 0.2,
-     "stopSendingWithinMs": 500.0},
-    "familyInfo": {"guards": "reject", "listRole": "delayed", "oldestDataMs": [0.0, 0.0, 0.0],
-     "readLevel": ["loose", "own_writes", "update"], "stamps": true, "tokens": "router"},
-    "grades": [
-     {"name": "view", "aimMs": 600.0, "deadlineMs": 2000.0, "semantics": "pure", "worth": 1.0},
-     {"name": "own", "aimMs": 400.0, "deadlineMs": 2000.0, "semantics": "pure", "worth": 2.0},
-     {"name": "report", "aimMs": 400.0, "deadlineMs": 2000.0, "semantics": "token", "group": "cell",
-      "keyTtlMs": 3000.0, "worth": 3.0, "lateWorth": 0.5}],
-    "policyLimits": {"sendCap": 4, "retryAfter": true, "maxRetryAfterMs": 2000.0, "connectTimeoutMs": 250.0,
-     "idleCloseMs": 15000.0},
-    "tenants": [{"name": "honest", "share": 0.5, "quotaPerS": 1000.0}, {"name": "venue", "share": 0.5, "quotaPerS": 1000.0}]}"#;
-
 /// Habits of slow clients, in turns.
 const READERS: [Habit; 5] = [
     Habit::NeverReads,
@@ -111,13 +63,6 @@
     Ok(Stage { gateway, set, members })
 }
 
-/// Processor time of a process so far, in seconds; ticks are hundredths of a second on every usual machine.
-fn cpu_s(pid: u32) -> f64 {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
-    let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace();
-    fields.skip(11).take(2).filter_map(|ticks| ticks.parse::<f64>().ok()).sum::<f64>() / 100.0
-}
-
 /// `VmHWM` of a process, in MiB.
 fn peak_rss_mb(pid: u32) -> f64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
--- a/rig/src/stage.rs
+++ b/rig/src/stage.rs
@@ -5,13 +5,28 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use leverpoint_stands::agent::agent;
 use leverpoint_stands::gateway::{self, Gateway};
 use leverpoint_stands::wire::{STARTUP, http, message, put, query};
 
-use crate::sessions::{Asked, PATIENCE, operator};
-use crate::slow::SETTINGS;
+/// How long a command of a session is waited for.
+pub const PATIENCE: Duration = Duration::from_millis(2_000);
+
+pub const SETTINGS: &str = r#"{"balancers": 1, "me": 0, "tickMs": 5.0, "zone": 0, "zones": ["a"], "discovery": "pushed",
+    "contract": {"answerSlackMs": 20.0, "coldMs": 9000.0, "fallMs": 1500.0, "fallMultiple": 2.5, "startCapacity": 0.2,
+     "stopSendingWithinMs": 500.0},
+    "familyInfo": {"guards": "reject", "listRole": "delayed", "oldestDataMs": [0.0, 0.0, 0.0],
+     "readLevel": ["loose", "own_writes", "update"], "stamps": true, "tokens": "router"},
+    "grades": [
+     {"name": "view", "aimMs": 600.0, "deadlineMs": 2000.0, "semantics": "pure", "worth": 1.0},
+     {"name": "own", "aimMs": 400.0, "deadlineMs": 2000.0, "semantics": "pure", "worth": 2.0},
+     {"name": "report", "aimMs": 400.0, "deadlineMs": 2000.0, "semantics": "token", "group": "cell",
+      "keyTtlMs": 3000.0, "worth": 3.0, "lateWorth": 0.5}],
+    "policyLimits": {"sendCap": 4, "retryAfter": true, "maxRetryAfterMs": 2000.0, "connectTimeoutMs": 250.0,
+     "idleCloseMs": 15000.0},
+    "tenants": [{"name": "honest", "share": 0.5, "quotaPerS": 1000.0}, {"name": "venue", "share": 0.5, "quotaPerS": 1000.0}]}"#;
 
 /// The gateway's program: the one that is named, else the one beside this.
 pub fn program(named: &Option<PathBuf>) -> Result<PathBuf, String> {
@@ -23,15 +38,14 @@
     Ok(program)
 }
 
-/// A gateway that follows sessions as it is asked to, at an address of its own: one before may still have its old one.
-pub fn start(asked: &Asked, program: &Path, known: &str, name: &str) -> Gateway {
+/// A gateway with this operator's file, at an address of its own: one before may still have its old one.
+pub fn start(operator: Option<&String>, program: &Path, known: &str) -> Gateway {
     let agent = agent();
     let _ = agent.say.send(http(known));
     let address = gateway::free_address();
     let text = gateway::config(&address, &agent.address, known, SETTINGS);
-    let operator = operator(asked, name).expect("a file is written");
-    let words: &[&str] = if asked.without { &[] } else { &["--operator", &operator] };
-    gateway::start(&text, address, agent, program, words)
+    let words = operator.map_or(Vec::new(), |file| vec!["--operator", file]);
+    gateway::start(&text, address, agent, program, &words)
 }
 
 /// A connection that is admitted.
@@ -56,3 +70,10 @@
         }
     }
 }
+
+/// Processor time of a process so far, in seconds; ticks are hundredths of a second on every usual machine.
+pub fn cpu_s(pid: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace();
+    fields.skip(11).take(2).filter_map(|ticks| ticks.parse::<f64>().ok()).sum::<f64>() / 100.0
+}
--- a/sim/src/fleet.rs
+++ b/sim/src/fleet.rs
@@ -212,7 +212,7 @@
     stopped: bool,
     /// What it holds of others, as seen at the last look.
     believed: BTreeMap<String, Incarnation>,
-    /// Doubts that it had, to be compared right after it goes on.
+    /// What it had found out of others by itself, to be compared right after it goes on.
     woke: Option<u64>,
 }
 
@@ -365,7 +365,7 @@
 
     fn doubts(&self, p: usize) -> Option<u64> {
         let node = self.places[p].node.borrow().clone()?;
-        Some(node.look(|fellow| fellow.counts.doubts + fellow.counts.gone))
+        Some(node.look(|fellow| fellow.counts.found))
     }
 
     fn breaks(&mut self, rule: u8, what: String) {
@@ -439,8 +439,6 @@
         if let Some(doubts) = self.places[p].woke.take()
             && self.doubts(p).is_some_and(|now| now > doubts)
             && now - self.quiet <= 2 * LOOKS
-            && self.wrong.is_empty()
-            && self.scenario.lose == 0.0
         {
             self.breaks(FALSE_GONE, format!("member {p} doubts others for the time in which it stood still"));
         }
--- a/stands/src/client.rs
+++ b/stands/src/client.rs
@@ -5,7 +5,6 @@
 use std::io::Write;
 use std::net::TcpStream;
 
-use crate::crowd::Judged;
 use crate::wire::{message, query};
 
 pub struct Client {
@@ -80,3 +79,14 @@
     }
     if value.as_deref() == Some(owed) { Judged::Answered } else { Judged::Wrong }
 }
+
+/// What a whole answer is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Judged {
+    Answered,
+    /// A row with a value that was not made for this command.
+    Wrong,
+    /// With the milliseconds to come back in, 0 where none are said.
+    Throttled(u64),
+    Failed,
+}
--- a/stands/src/crowd.rs
+++ b/stands/src/crowd.rs
@@ -12,6 +12,7 @@
 
 use socket2::{Domain, Socket, Type};
 
+use crate::client::{Judged, judged};
 use crate::values::made;
 use crate::wire::{STARTUP, query};
 
@@ -259,7 +260,7 @@
     /// Counts an answer; after how long to come again, where it says so.
     fn judge(&self, id: &str, heard: &[u8]) -> Duration {
         let seen = &self.seen;
-        match crate::client::judged(heard, &made(id, self.asks.length)) {
+        match judged(heard, &made(id, self.asks.length)) {
             Judged::Answered => add(&seen.answered),
             Judged::Wrong => add(&seen.wrong),
             Judged::Throttled(ms) => {
@@ -271,14 +272,3 @@
         Duration::ZERO
     }
 }
-
-/// What a whole answer is.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Judged {
-    Answered,
-    /// A row with a value that was not made for this command.
-    Wrong,
-    /// With the milliseconds to come back in, 0 where none are said.
-    Throttled(u64),
-    Failed,
-}
--- a/stands/src/stage.rs
+++ b/stands/src/stage.rs
@@ -29,8 +29,9 @@
     pub disk: bool,
     /// Processes stand in so many zones in turn.
     pub zones: usize,
-    /// Whether the operator's file makes them members at all.
+    /// Whether the operator's file makes them members at all, and whether relays stand between them.
     pub members: bool,
+    pub relays: bool,
     /// The configuration's settings, and the list of servers that is known.
     pub settings: String,
     pub known: String,
@@ -46,6 +47,8 @@
     pub layout: u64,
     pub holders: u64,
     pub forks: u64,
+    /// Words of others' lives that had ended before, by its own earlier word.
+    pub old: u64,
     pub life: u64,
     pub memory: String,
     /// By name: life, and how it is seen.
@@ -63,6 +66,7 @@
             }
             "member seen" => {
                 let life = line["life"].as_u64().unwrap_or(0);
+                self.old += u64::from(self.seen.get(&text("who")).is_some_and(|(before, _)| life < *before));
                 self.seen.insert(text("who"), (life, text("seen")));
             }
             "layout" => {
@@ -136,7 +140,7 @@
         let ways: Vec<Vec<Way>> = (0..n).map(|_| (0..n).map(|_| Way::default()).collect()).collect();
         let mut between = |a: usize, b: usize| {
             let (forth, back) = (ways[a][b].clone(), ways[b][a].clone());
-            (a != b).then(|| relay(places[b].link.clone(), forth, back, chance.u64(..)))
+            (a != b && build.relays).then(|| relay(places[b].link.clone(), forth, back, chance.u64(..)))
         };
         let relays = (0..n).map(|a| (0..n).map(|b| between(a, b)).collect()).collect();
         Stage { program: program.to_owned(), build, root, places, ways, relays, keys: vec![KEY.into(); n] }
@@ -164,7 +168,13 @@
         let reached = |to: usize| self.relays[from][to].map(|at| (self.places[to].name.clone(), at));
         let ways: Vec<_> = (0..self.build.processes).filter_map(reached).collect();
         let reach: Vec<_> = ways.iter().map(|(name, at)| format!("\"{name}\" = \"{at}\"")).collect();
-        let seeds: Vec<_> = ways.iter().take(3).map(|(_, at)| format!("\"{at}\"")).collect();
+        let direct = || (0..self.places.len().min(3)).map(|s| *self.places[s].link.lock().unwrap());
+        let near: Vec<SocketAddr> = if self.build.relays {
+            ways.iter().take(3).map(|(_, at)| *at).collect()
+        } else {
+            direct().collect()
+        };
+        let seeds: Vec<_> = near.iter().map(|at| format!("\"{at}\"")).collect();
         let founders: Vec<_> = (0..self.build.founders).map(|f| format!("\"n{f}\"")).collect();
         let disk = format!("  disk = \"{}\"\n", place.folder.display());
         format!(
@@ -190,7 +200,9 @@
     pub fn start(&mut self, p: usize) {
         assert!(self.places[p].gateway.is_none(), "it runs");
         // Its connections may still hold the old port for a moment; the relays are told of the new one.
-        *self.places[p].link.lock().unwrap() = free();
+        if self.build.relays {
+            *self.places[p].link.lock().unwrap() = free();
+        }
         self.write(p);
         let agent = agent();
         let _ = agent.say.send(http(&self.build.known));
