A second process that knocks at the first of its name no longer ends it

Now a member that takes part answers such a claim with its own word, and only what a third has taken in ends it. A course keeps it (fails without the change).

--- a/link/src/node.rs
+++ b/link/src/node.rs
@@ -110,7 +110,8 @@
         self.wake.notify_one();
     }
 
-    fn answer(&self, question: &Question) -> Answer {
+    /// What is said to an operator's question.
+    pub fn answer(&self, question: &Question) -> Answer {
         let mut fellow = self.fellow.borrow_mut();
         match question {
             Question::Members => Answer::Members {
--- a/members/src/fellow.rs
+++ b/members/src/fellow.rs
@@ -466,7 +466,7 @@
         }
         self.counts.heard += 1;
         if envelope.me.card.name == self.me.card.name {
-            self.of_me(&envelope.me);
+            self.claimed(&envelope.me);
             return std::mem::take(&mut self.out);
         }
         match self.told(now, &envelope.me, Of::Itself) {
@@ -493,6 +493,18 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Another process speaks under this member's own name. As long as this one takes part it is here, whatever life the
+    /// other names: that one is told so. Only what a third has taken in ends this one.
+    fn claimed(&mut self, rumour: &Rumour) {
+        if self.stand != Stand::In || rumour.card.incarnation == self.me.card.incarnation {
+            return self.of_me(rumour);
+        }
+        self.counts.taken += 1;
+        let envelope = self.envelope(None, Body::View { rumours: vec![self.me.clone()] });
+        let to = To { name: None, address: rumour.card.address.clone() };
+        self.out.push(Do::Send { to, envelope: Box::new(envelope) });
+    }
+
     /// Who speaks for a name that is held otherwise hears what is held of it.
     fn tells_of_itself(&mut self, member: usize, card: &Card) {
         let Some(rumour) = self.view.get(member).map(|held| held.rumour.clone()) else { return };
@@ -529,7 +541,7 @@
         // At this one's own address nobody else can be there.
         let there = rumour.seen <= Seen::Doubted && rumour.card.address != self.me.card.address;
         if theirs == mine {
-            if rumour.seen != Seen::Here && rumour.count >= self.me.count {
+            if rumour.seen != Seen::Here && rumour.count >= self.me.count && !plant("not-contradicted") {
                 self.me.count = rumour.count + 1;
                 self.counts.contradicted += 1;
             }
@@ -654,8 +666,7 @@
 
     fn has_voice(&self) -> bool {
         let mine = &self.me.card;
-        let memory = plant("empty-memory-votes") || self.layout.has(&mine.name, mine.incarnation.memory);
-        memory && !self.voiceless && self.layout.holder(&mine.name).is_some()
+        self.layout.has(&mine.name, mine.incarnation.memory) && !self.voiceless
     }
 
     /// Whether this one votes on that version; who is behind is told, and who is ahead asked.
--- a/members/src/layout.rs
+++ b/members/src/layout.rs
@@ -55,7 +55,8 @@
 
     /// Whether a member with this memory has a voice.
     pub fn has(&self, name: &str, memory: u64) -> bool {
-        self.holder(name).is_some_and(|h| h.memory == memory || h.memory == 0)
+        let any = |h: &Holder| h.memory == 0 || plant("empty-memory-votes");
+        self.holder(name).is_some_and(|h| h.memory == memory || any(h))
     }
 
     /// How many make a quorum: more than half, and of the founders all, as none of them has shown its memory yet.
--- a/members/tests/members.rs
+++ b/members/tests/members.rs
@@ -283,6 +283,18 @@
     assert_eq!(sent, 0);
 }
 
+#[test]
+fn a_second_process_that_asks_the_first_itself_does_not_end_it() {
+    let mut fleet = fleet(3, 3);
+    fleet.run(10);
+    // The seeds are p0 and p1, so it knocks at the very process whose name it has.
+    fleet.start("n0", "p9", 200);
+    fleet.run(30);
+    assert_eq!((fleet.said("p0 Ended"), fleet.said("p9 Taken")), (0, 1), "{}", fleet.said.join("\n"));
+    assert!(fleet.up["p0"].counts.taken > 0);
+    assert_eq!((fleet.up["p0"].stand(), fleet.up["p9"].stand()), (Stand::In, Stand::Joining));
+}
+
 #[test]
 fn who_stood_still_for_ten_seconds_calls_nobody_gone_and_is_back_soon() {
     let mut fleet = fleet(4, 4);
--- a/sim/src/fleet.rs
+++ b/sim/src/fleet.rs
@@ -13,7 +13,7 @@
 use leverpoint_emulator::Tenths;
 use leverpoint_ground::{Instant, Listener, set_world, sleep, spawn, unix};
 use leverpoint_link::node::{packed, unpacked};
-use leverpoint_link::{Fleet, Keeper, Node, Start};
+use leverpoint_link::{Fleet, Keeper, Node, Question, Start};
 use leverpoint_members::{Card, Incarnation, Kept, Seen, Stand, Terms};
 use leverpoint_seal::{Key, Keys};
 use serde::Deserialize;
@@ -63,6 +63,9 @@
     pub one_way: f64,
     #[serde(default)]
     pub clocks: f64,
+    /// An operator asks some member to have another removed.
+    #[serde(default)]
+    pub removes: f64,
     /// How often the fleet is cut in two at the most, and how often half of it dies in one second.
     #[serde(default)]
     pub halves: f64,
@@ -87,6 +90,8 @@
     /// Those whose bit is set are cut off from the others.
     Halves(u128, bool),
     Clock(usize, Tenths),
+    /// Asked of the first: that the second be removed.
+    Removes(usize, usize),
 }
 
 #[derive(Clone, Debug)]
@@ -139,6 +144,9 @@
             let off = if chance.bool() { 36_000_000 } else { -36_000_000 };
             faults.push((span(&mut chance).0, Fault::Clock(one(&mut chance), off)));
         }
+        for _ in 0..times(&mut chance, self.removes) {
+            faults.push((span(&mut chance).1, Fault::Removes(one(&mut chance), one(&mut chance))));
+        }
         let count = |chance: &mut Rng, rate: f64| (rate * chance.f64()).round() as usize;
         let some = |chance: &mut Rng| {
             let mut all: Vec<usize> = (0..members).collect();
@@ -214,6 +222,8 @@
     believed: BTreeMap<String, Incarnation>,
     /// What it had found out of others by itself, to be compared right after it goes on.
     woke: Option<u64>,
+    /// At the last look: votes given, the layout's version, and whether that has this name with another memory.
+    voted: (u64, u64, bool),
 }
 
 struct Run {
@@ -243,7 +253,7 @@
         }
         let process = place.process;
         (place.runs, place.stopped, place.woke) = (true, false, None);
-        place.believed.clear();
+        (place.voted, place.believed) = ((0, 0, false), BTreeMap::new());
         self.sim.begin(process, Role::Gateway);
         let door = self.sim.listen(process, address(p));
         let (sim, node, disk, name) =
@@ -359,6 +369,12 @@
                 }
                 self.ways();
             }
+            Fault::Removes(p, who) => {
+                let node = self.places[*p].node.borrow().clone().filter(|_| !self.places[*p].stopped);
+                let name = self.places[*who].name.clone();
+                let said = node.map(|node| node.answer(&Question::Remove { name }));
+                self.sim.note("operator", || format!("hears {said:?}"));
+            }
             Fault::Clock(p, off) => self.sim.set_clock_off(self.places[*p].process, *off),
         }
     }
@@ -401,6 +417,18 @@
             if forks > 0 {
                 self.breaks(FORK, format!("member {p} has met two layouts of one version"));
             }
+            let voted = node.look(|f| {
+                let mine = &f.me().card;
+                let other = f
+                    .layout()
+                    .holder(&mine.name)
+                    .is_some_and(|h| ![0, mine.incarnation.memory].contains(&h.memory));
+                (f.counts.votes, f.layout().version, other)
+            });
+            let before = std::mem::replace(&mut self.places[*p].voted, voted);
+            if before.2 && voted.2 && before.1 == voted.1 && voted.0 > before.0 {
+                self.breaks(ENDED, format!("member {p} votes for a memory that it has lost"));
+            }
             if let Some(layout) = layout {
                 let (version, digest) = (layout.version, layout.digest());
                 if *self.layouts.entry(version).or_insert(digest) != digest {
@@ -510,6 +538,7 @@
         stopped: false,
         believed: BTreeMap::new(),
         woke: None,
+        voted: (0, 0, false),
     };
     let twins = script.faults.iter().any(|(_, fault)| matches!(fault, Fault::Twin(..)));
     let mut run = Run {
--- a/sim/src/plants.rs
+++ b/sim/src/plants.rs
@@ -32,7 +32,7 @@
     ("stood-still-unseen", "members-churn"),
     ("quorum-halved", "members-partition"),
     ("gone-for-good", "members-partition"),
-    ("views-apart", "members-loss"),
+    ("not-contradicted", "members-loss"),
 ];
 
 /// How many seeds from 0 on it takes, and what they find.
