--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -12,3 +12,14 @@
 sessions {
   follow = false
 }
+
+# No member of any fleet on the users' platform, which forbids talk among instances. Elsewhere:
+#
+# members {
+#   listen   = "10.0.0.7:7432"
+#   fleet    = "hall"
+#   seeds    = ["10.0.0.8:7432", "10.0.0.9:7432"]
+#   founders = ["n0", "n1", "n2"]
+#   keys     = ["1:00112233445566778899aabbccddeeff"]
+#   disk     = "/var/lib/leverpoint/member"
+# }
--- a/members/src/layout.rs
+++ b/members/src/layout.rs
@@ -61,7 +61,7 @@
 
     /// How many make a quorum: more than half, and of the founders all, as none of them has shown its memory yet.
     pub fn quorum(&self) -> usize {
-        if plant("quorum-halved") {
+        if self.version > 0 && plant("quorum-halved") {
             return (self.holders.len() / 2).max(1);
         }
         if self.version == 0 { self.holders.len().max(1) } else { self.holders.len() / 2 + 1 }
--- a/sim/src/fleet.rs
+++ b/sim/src/fleet.rs
@@ -156,8 +156,17 @@
             all.into_iter().fold(0u128, |set, p| set | 1 << p)
         };
         for _ in 0..count(&mut chance, self.halves) {
-            let ((at, until), set) = (span(&mut chance), some(&mut chance));
+            let ((at, mut until), set) = (span(&mut chance), some(&mut chance));
+            // Every second one for longer than it takes to be called gone.
+            until += if chance.bool() { chance.i64(100_000..300_000) } else { 0 };
             faults.extend([(at, Fault::Halves(set, true)), (until, Fault::Halves(set, false))]);
+            // Operators on either side, each of whom sees only his own.
+            let (one, other): (Vec<usize>, Vec<usize>) = (0..members).partition(|p| set >> p & 1 == 1);
+            if self.removes > 0.0 && !one.is_empty() && !other.is_empty() {
+                let (a, b) = (one[chance.usize(..one.len())], other[chance.usize(..other.len())]);
+                let asked = [Fault::Removes(a, b), Fault::Removes(b, a)];
+                faults.extend(asked.map(|fault| (at.max(until - chance.i64(10_000..40_000)), fault)));
+            }
         }
         for _ in 0..count(&mut chance, self.half_dies) {
             let ((at, until), set) = (span(&mut chance), some(&mut chance));
@@ -166,9 +175,6 @@
                 faults.push((until + chance.i64(0..10_000), Fault::Returns(p)));
             }
         }
-        // All has an end well before the end of the run.
-        let last = (end * 0.9) as Tenths;
-        faults.iter_mut().for_each(|(at, _)| *at = (*at).min(last));
         faults.sort_by_key(|(at, _)| *at);
         Script { members, faults }
     }
--- a/sim/src/lib.rs
+++ b/sim/src/lib.rs
@@ -3,9 +3,13 @@
 //!
 //! One seed always gives the same trace, to the byte.
 
+mod agents;
 pub mod checker;
+mod clients;
 pub mod compare;
+mod course;
 pub mod fleet;
+mod machines;
 pub mod outcome;
 #[cfg(feature = "plants")]
 pub mod plants;
