--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -195,15 +195,18 @@
                 if let (Some(member), Some(membership)) = (&self.member, &membership) {
                     member.set(fleet::known_by(membership), &membership.seeds);
                 }
-                let held_now = ["members.keys", "members.seeds", "members.reach"];
-                let waits = |key: &&String| {
-                    let member =
-                        key.starts_with("members") && !held_now.iter().any(|now| key.starts_with(now));
-                    member || ["slow.kernel", "slow.caps"].contains(&key.as_str())
-                };
+                let waits = |key: &&String| ["slow.kernel", "slow.caps"].contains(&key.as_str());
                 let waiting: Vec<_> = changed.iter().filter(waits).map(String::as_str).collect();
                 slog::info!(self.log, "operator's file read again"; "changed" => changed.join(" "),
-                    "needs_restart" => waiting.join(" "));
+                    "needs_restart_for_open_connections" => waiting.join(" "));
+                let at_once = ["members.keys", "members.seeds", "members.reach"];
+                let later = |key: &&String| {
+                    key.starts_with("members") && !at_once.iter().any(|now| key.starts_with(now))
+                };
+                let later: Vec<_> = changed.iter().filter(later).map(String::as_str).collect();
+                if !later.is_empty() {
+                    slog::warn!(self.log, "operator's file: needs a restart"; "keys" => later.join(" "));
+                }
                 *held = again;
             }
             Err(fault) => slog::error!(self.log, "operator's file not taken"; "why" => fault.to_string()),
--- a/members/src/fellow.rs
+++ b/members/src/fellow.rs
@@ -243,9 +243,10 @@
         &self.view
     }
 
-    /// Members in touch, this one among them.
-    pub fn many(&self) -> usize {
-        self.view.in_touch().len() + 1
+    /// All that are known, those that have gone among them: by them it goes how long a doubt lasts, so that the first
+    /// who go in a cut do not hurry the others.
+    fn known(&self) -> usize {
+        self.view.len() + 1
     }
 
     /// When [`Fellow::tick`] is wanted next.
@@ -295,7 +296,7 @@
             self.out.push(Do::Say(Event::StoodStill { span }));
         }
         self.widen(now);
-        for member in self.view.doubted_since(now - self.terms.doubt(self.many())) {
+        for member in self.view.doubted_since(now - self.terms.doubt(self.known())) {
             self.finds(now, member, Input::TimeUp);
         }
         if now >= self.next_beat {
@@ -399,7 +400,7 @@
             // Who is doubted hears it first, so that it can contradict.
             let of_it = to.and_then(|member| self.view.get(member)).filter(|held| held.seen() != Seen::Here);
             rumours.extend(of_it.map(|held| held.rumour.clone()));
-            let times = self.terms.times(self.view.len() + 1);
+            let times = self.terms.times(self.known());
             for member in self.rumours.take(times) {
                 rumours.extend(
                     self.view.get(member).filter(|_| Some(member) != to).map(|held| held.rumour.clone()),
--- a/rig/src/members.rs
+++ b/rig/src/members.rs
@@ -52,6 +52,9 @@
 const PROCESSES: usize = 6;
 const BEAT_MS: u64 = 100;
 
+/// A hundred are taken in one after the other, a beat or two each.
+const TAKEN_IN: Duration = Duration::from_secs(180);
+
 /// One size's cost.
 struct Cost {
     members: usize,
@@ -196,7 +199,12 @@
     for p in 0..members {
         stage.until(p, "all are known", |word| word.many("here") >= members - 1);
     }
-    // What begins with a fleet is over: greetings of first connections, news, votes on each new holder.
+    // What begins with a fleet is over: the votes on each new holder, greetings of first connections, news.
+    let began = Instant::now();
+    while stage.word(0).holders < members as u64 && began.elapsed() < TAKEN_IN {
+        let _ = stage.waits(0, |word| word.holders >= members as u64);
+    }
+    eprintln!("{members} members hold a layout after {:.1} s", began.elapsed().as_secs_f64());
     sleep(Duration::from_secs(if asked.short { 3 } else { 20 }));
     let some: Vec<usize> = (0..members).step_by(members.div_ceil(10)).collect();
     let look = |stage: &mut Stage| -> (f64, f64) {
