--- a/link/src/post.rs
+++ b/link/src/post.rs
@@ -225,17 +225,17 @@
         line
     }
 
-    /// Room for one more; the one that was not used for longest makes it, unless it is in use just now.
+    /// Room for one more; the one that was not used for longest makes it, unless all are in use just now.
     fn has_room(&self) -> bool {
-        let lines = self.lines.borrow();
+        let mut lines = self.lines.borrow_mut();
         if lines.len() < self.most {
             return true;
         }
-        let idle = lines.iter().filter(|l| l.open.get() && l.queue.borrow().is_empty());
-        if let Some(oldest) = idle.min_by_key(|l| l.used.get()) {
-            oldest.end();
-        }
-        false
+        let idle = |(_, l): &(usize, &Rc<Line>)| l.open.get() && l.queue.borrow().is_empty();
+        let oldest =
+            lines.iter().enumerate().filter(idle).min_by_key(|(_, l)| l.used.get()).map(|(at, _)| at);
+        // Its task ends by itself; its place is free at once, else what is to be said now would be dropped.
+        oldest.map(|at| lines.remove(at).end()).is_some()
     }
 
     fn leave(&self, line: &Rc<Line>) {
