--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -69,7 +69,10 @@
 }
 
 fn members_words() -> OptionParser<members::Asked> {
-    let faults = long("faults").help("Faults, one after the other").argument::<usize>("N").fallback(200);
+    let faults = long("faults")
+        .help("Faults, one after the other; 0: the cost by size alone")
+        .argument::<usize>("N")
+        .fallback(200);
     let short = long("short").help("Small fleets and short measures").switch();
     let seed = long("seed").help("For all that is left to chance").argument::<u64>("N").fallback(1);
     let out = long("out").help("Where tables and charts are written").argument::<PathBuf>("DIR");
--- a/rig/src/members.rs
+++ b/rig/src/members.rs
@@ -290,8 +290,10 @@
     let program = stage::program(&asked.program)?;
     std::fs::create_dir_all(&asked.out).map_err(|e| e.to_string())?;
     let mut figures = Figures { processes: PROCESSES, ..Figures::default() };
-    play(asked, &program, &mut figures)?;
-    figures.p99_ratio = beside(asked, &program)?;
+    if asked.faults > 0 {
+        play(asked, &program, &mut figures)?;
+        figures.p99_ratio = beside(asked, &program)?;
+    }
     let sizes: &[usize] = if asked.short { &[3, 10] } else { &[3, 10, 30, 100] };
     let costs: Vec<Cost> = sizes.iter().map(|members| cost(asked, &program, *members)).collect();
     let mut table = std::fs::File::create(asked.out.join("members-cost.csv")).map_err(|e| e.to_string())?;
--- a/stands/src/member.rs
+++ b/stands/src/member.rs
@@ -232,25 +232,36 @@
                 set.works(nth, text)
             }
         };
-        let mut out = match reply {
-            Reply::Row if text.starts_with("INSERT") => row_of(&made(id, 64), WRITTEN),
-            Reply::Row => row_of(&made(id, length_of(text.split('\'').nth(1)?)), READ),
-            refused => refusal(refused),
-        };
+        let mut out = answer(reply, text, id);
         let ends = out.len();
-        let mode = if primary { "read-write" } else { "read-only" };
-        put(&mut out, b'S', format!("mode\0{mode}\0").as_bytes());
-        if position > 0 {
-            put(&mut out, b'S', format!("wal_time\0{position}\0").as_bytes());
-        }
-        put(&mut out, b'Z', b"I");
+        word(&mut out, primary, (position > 0).then_some(position as f64));
         let at = *pace.lock().unwrap();
         write_paced(&mut stream, &out, ends, at).ok()?;
     }
 }
 
+/// What a machine answers a statement with: the row made for it, or the error that turns it away.
+pub fn answer(reply: Reply, text: &str, id: &str) -> Vec<u8> {
+    match reply {
+        Reply::Row if text.starts_with("INSERT") => row_of(&made(id, 64), WRITTEN),
+        Reply::Row => row_of(&made(id, length_of(text.split('\'').nth(1).unwrap_or_default())), READ),
+        refused => refusal(refused),
+    }
+}
+
+/// What it says of itself behind that: its role, its position as milliseconds of the day, where it has one; then that
+/// it is ready.
+pub fn word(out: &mut Vec<u8>, primary: bool, position: Option<f64>) {
+    let mode = if primary { "read-write" } else { "read-only" };
+    put(out, b'S', format!("mode\0{mode}\0").as_bytes());
+    if let Some(position) = position {
+        put(out, b'S', format!("wal_time\0{position}\0").as_bytes());
+    }
+    put(out, b'Z', b"I");
+}
+
 /// The error with which a machine turns a statement away.
-pub fn refusal(reply: Reply) -> Vec<u8> {
+fn refusal(reply: Reply) -> Vec<u8> {
     let code = match reply {
         Reply::NotPrimary => "25006",
         Reply::Behind => "72000",
