--- a/members/src/terms.rs
+++ b/members/src/terms.rs
@@ -25,20 +25,22 @@
     pub settles: Tenths,
 }
 
+/// A beat of half a second costs a member some 500 bytes a second, whatever the fleet's size; a round trip between data
+/// centres takes a few milliseconds, so 150 ms for an answer is generous.
+pub const USUAL: Terms = Terms {
+    beat: 5_000,
+    answer: 1_500,
+    asks: 3,
+    patience: 3,
+    spread: 3,
+    most: 512,
+    keeps: 36_000_000,
+    settles: 20_000,
+};
+
 impl Default for Terms {
     fn default() -> Terms {
-        // A beat of half a second costs a member some 500 bytes a second each way, whatever the fleet's size; a
-        // round trip between data centres takes a few milliseconds, so 150 ms for an answer is generous.
-        Terms {
-            beat: 5_000,
-            answer: 1_500,
-            asks: 3,
-            patience: 3,
-            spread: 3,
-            most: 512,
-            keeps: 36_000_000,
-            settles: 20_000,
-        }
+        USUAL
     }
 }
 
--- a/sim/src/fleet.rs
+++ b/sim/src/fleet.rs
@@ -14,6 +14,7 @@
 use leverpoint_ground::{Instant, Listener, set_world, sleep, spawn, unix};
 use leverpoint_link::node::{packed, unpacked};
 use leverpoint_link::{Fleet, Keeper, Node, Question, Start};
+use leverpoint_members::terms::USUAL;
 use leverpoint_members::{Card, Incarnation, Kept, Seen, Stand, Terms};
 use leverpoint_seal::{Key, Keys};
 use serde::Deserialize;
@@ -182,16 +183,7 @@
 
 /// One way between any two members.
 const LATENCY: (Tenths, Tenths) = (2, 40);
-const TERMS: Terms = Terms {
-    beat: 5_000,
-    answer: 1_500,
-    asks: 3,
-    patience: 3,
-    spread: 3,
-    most: 512,
-    keeps: 36_000_000,
-    settles: 20_000,
-};
+const TERMS: Terms = USUAL;
 /// So often it is looked at what holds in a fleet of up to ten, and as much less often as it is larger: a look takes as
 /// long as there are pairs.
 const LOOKS: Tenths = 1_000;
