Read once more: a layout's digest is taken once for each layout, not for each message

Each message hashed all holders of the layout, going out and coming in. It is taken when a layout is; an unused count goes.

--- a/members/src/fellow.rs
+++ b/members/src/fellow.rs
@@ -168,6 +168,8 @@
     probe: Probe,
     seeds: Vec<String>,
     layout: Layout,
+    /// Its version and digest, which go into each message.
+    goes: Goes,
     voice: Voice,
     voiceless: bool,
     proposal: Option<(Proposal, Tenths)>,
@@ -201,6 +203,7 @@
             rumours: Rumours::default(),
             probe: Probe::new(chance.u32(..)),
             seeds: Vec::new(),
+            goes: goes(&layout),
             layout,
             voice: kept.voice,
             voiceless: false,
@@ -407,8 +410,7 @@
                 );
             }
         }
-        let layout = Goes { version: self.layout.version, digest: self.layout.digest() };
-        Envelope { me: self.me.clone(), layout, view: self.view.number(&self.me), rumours, body }
+        Envelope { me: self.me.clone(), layout: self.goes, view: self.view.number(&self.me), rumours, body }
     }
 
     fn address_of(&self, member: usize) -> Option<To> {
@@ -575,7 +577,7 @@
     /// Layouts and views that differ are made one.
     fn compare(&mut self, now: Tenths, member: usize, envelope: &Envelope) {
         let (mine, theirs) = (self.layout.version, envelope.layout);
-        if theirs.version == mine && mine > 0 && theirs.digest != self.layout.digest() {
+        if theirs.version == mine && mine > 0 && theirs.digest != self.goes.digest {
             self.counts.forks += 1;
             let from = envelope.me.card.name.clone();
             self.out.push(Do::Say(Event::Fork { version: mine, from }));
@@ -872,6 +874,7 @@
         if layout.version <= self.layout.version || (next && !self.layout.may_become(&layout)) {
             return;
         }
+        self.goes = goes(&layout);
         self.layout = layout;
         self.voice = Voice::default();
         self.proposal = None;
@@ -901,6 +904,10 @@
     }
 }
 
+fn goes(layout: &Layout) -> Goes {
+    Goes { version: layout.version, digest: layout.digest() }
+}
+
 fn holder(card: &Card) -> Holder {
     Holder {
         name: card.name.clone(),
--- a/members/src/rumours.rs
+++ b/members/src/rumours.rs
@@ -25,10 +25,6 @@
         self.0.is_empty()
     }
 
-    pub fn len(&self) -> usize {
-        self.0.len()
-    }
-
     /// Those that have gone out least often, each counted once more and dropped after so many times.
     pub fn take(&mut self, times: u32) -> Vec<usize> {
         let mut least: Vec<(u32, usize)> = self.0.iter().map(|(member, sent)| (*sent, *member)).collect();
