--- a/sim/src/scene.rs
+++ b/sim/src/scene.rs
@@ -33,9 +33,9 @@
     if let Some((_, text)) = MEMBERS.iter().find(|(n, _)| *n == name) {
         return members(text);
     }
-    let of_a_fleet = std::fs::read_to_string(name).is_ok_and(|text| text.contains("\nmembers "));
-    if of_a_fleet {
-        let text = std::fs::read_to_string(name).map_err(|e| format!("{name}: {e}"))?;
+    if let Ok(text) = std::fs::read_to_string(name)
+        && text.contains("\nmembers ")
+    {
         return members(&text).map_err(|e| format!("{name}: {e}"));
     }
     script::scenario(name).map(Scene::Gateways)
