--- a/copies/src/asking.rs
+++ b/copies/src/asking.rs
@@ -71,8 +71,9 @@
     puts: VecDeque<(Record, u64)>,
     gets: VecDeque<(Kind, u64)>,
     out: BTreeMap<u32, Sent>,
-    /// For when it is back.
+    /// For when it is back, and when it is tried next.
     parked: VecDeque<Record>,
+    next_try: Tenths,
 }
 
 /// How a write was let go.
@@ -109,17 +110,21 @@
 /// Sessions whose writes are remembered so.
 const OURS: usize = 1 << 16;
 
+/// With so many messages out to a holder what comes meanwhile goes together, once one is answered.
+const BUSY: usize = 4;
 /// Messages out to one holder at most, and records that wait for one: beyond them the promise gives way.
 const OUT: usize = 64;
 const QUEUE: usize = 4_096;
+/// A holder that refuses is tried again so often in a lease.
+const TRIES_AGAIN: Tenths = 8;
 /// Parked for one holder at most; what is dropped is mended by comparing.
 const PARKED: usize = 4_096;
 /// An answer that took longer than this many times the usual one is slow.
 const SLOW: Tenths = 4;
 /// A holder is not called slow sooner: its disk takes a moment.
 const LEAST_SLOW: Tenths = 30;
-/// What is out is given up for good after so long.
-const GIVEN_UP: Tenths = 20_000;
+/// What is out is given up for good after this part of a lease.
+const GIVEN_UP: Tenths = 2;
 
 #[derive(Debug, Default)]
 pub struct Asking {
@@ -150,7 +155,15 @@
     // Writes.
 
     /// A write comes: nothing of it is sent before this says so.
-    pub fn begins(&mut self, core: &mut Core, now: Tenths, ticket: u64, session: u64, claim: Option<Claim>) {
+    pub fn begins(
+        &mut self,
+        core: &mut Core,
+        now: Tenths,
+        ticket: u64,
+        session: u64,
+        claim: Option<Claim>,
+        most: Tenths,
+    ) {
         self.writes += 1;
         let begun = self.writes;
         let fresh = Ours { first: begun, last: begun, open: 0, at: 0, touched: now };
@@ -163,13 +176,17 @@
         let mut records = vec![Record { kind: Kind::Position(session), value: Value::Position(wrote) }];
         let key = claim.map(|claim| {
             let until = now + claim.window;
-            (claim.key, claim.number, Try { set: claim.set, first: now, until, ended: Ended::Open })
+            (
+                claim.key,
+                claim.number,
+                Try { set: claim.set, first: now, until, ended: Ended::Open, original: !claim.repeat },
+            )
         });
         if let Some((key, number, one)) = key {
             records.push(Record { kind: Kind::Key(key), value: Value::Key(Fate::of(number, one)) });
         }
         self.going.insert(ticket, Going { session, begun, since: now, how: How::NotYet, key });
-        let (slow, over) = (now + self.slow_after(), now + core.terms.waits);
+        let (slow, over) = (now + self.slow_after(), now + core.terms.waits.min(most));
         let parts = records.iter().map(|record| (record.kind, Self::promise(core, record.kind, slow, over)));
         let write = Write { ticket, claim, parts: parts.collect(), fate: None, lost: 0 };
         self.next += 1;
@@ -181,6 +198,7 @@
             let first = self.to_send(op, record.kind);
             self.put(core, now, &record, op, &first);
         }
+        self.flush(core, now);
         if !known {
             self.effect(core, now, op, Effect::AnswerWithout);
         } else if early {
@@ -230,7 +248,6 @@
             Self::park(core, line, record);
             self.refused(core, now, op, record.kind, who);
         }
-        self.flush(core, now);
     }
 
     fn put_here(&mut self, core: &mut Core, now: Tenths, record: &Record, op: u64, who: &(String, u64)) {
@@ -315,6 +332,7 @@
         let further: Vec<(String, u64)> =
             promise.to_send().filter(|who| !promise.settled(who) && !out.contains(&who.0)).cloned().collect();
         self.put(core, now, &record, op, &further);
+        self.flush(core, now);
     }
 
     /// A write's record, as it was first sent.
@@ -390,6 +408,8 @@
             wait = wait.max(core.leases.length() / 4);
         }
         if wait > 0 {
+            // From here on it says itself that it may answer without promises, so that all miss it within a lease.
+            core.retreats = now + 2 * core.leases.over();
             core.counts.turned += 1;
             core.out.push(Do::Done(Done::Turned { ticket: write.ticket, wait }));
             return self.ends(core, now, write.ticket, Came::Never);
@@ -407,7 +427,9 @@
 
     /// How long it takes until a quorum without one of these that misses this member can't be had.
     fn unseen_after(core: &Core, now: Tenths, holders: &Holders) -> Tenths {
-        let until = |who: &(String, u64)| if core.is_me(who) { 0 } else { core.leases.there_until(&who.0) };
+        // Who has lost the memory that it is named with counts in nobody's quorum.
+        let counts = |who: &(String, u64)| !core.is_me(who) && core.leases.memory(&who.0) == who.1;
+        let until = |who: &(String, u64)| if counts(who) { core.leases.there_until(&who.0) } else { 0 };
         let mut all: Vec<Tenths> = holders.iter().map(until).collect();
         all.sort_unstable();
         let enough = holders.len() - Copies::quorum(holders.len());
@@ -462,6 +484,7 @@
         let all: BTreeSet<(String, u64)> = core.stack.holders(record.kind).into_iter().flatten().collect();
         let all: Vec<(String, u64)> = all.into_iter().collect();
         self.put(core, now, record, 0, &all);
+        self.flush(core, now);
     }
 
     // Reads.
@@ -553,6 +576,7 @@
             let who: Vec<(String, u64)> = who.into_iter().collect();
             core.counts.mended += who.len() as u64;
             self.put(core, now, record, 0, &who);
+            self.flush(core, now);
         }
         let ticket = read.ticket;
         if !matches!(read.kind, Kind::Position(_)) {
@@ -606,11 +630,10 @@
             self.lines.iter().filter(|(_, l)| l.wants()).map(|(n, _)| n.clone()).collect();
         for name in names {
             let Some(line) = self.lines.get_mut(&name) else { continue };
-            // With nothing out it goes at once; else what comes meanwhile goes together, once an answer is back.
             while line.wants() && line.out.len() < OUT {
                 let (puts, gets) = (line.puts.len().min(RECORDS), line.gets.len().min(RECORDS));
                 let full = puts == RECORDS || gets == RECORDS;
-                if line.out.len() >= 2 && !full {
+                if line.out.len() >= BUSY && !full {
                     break;
                 }
                 if puts > 0 {
@@ -704,6 +727,7 @@
     /// A holder is in touch again: what was parked for it goes.
     pub fn in_touch(&mut self, core: &mut Core, now: Tenths, name: &str) {
         let Some(line) = self.lines.get_mut(name) else { return };
+        line.next_try = now + core.leases.length() / TRIES_AGAIN;
         let room = QUEUE.saturating_sub(line.puts.len()).min(line.parked.len());
         let parked: Vec<Record> = line.parked.drain(..room).collect();
         line.puts.extend(parked.into_iter().map(|record| (record, 0)));
@@ -775,7 +799,7 @@
             .lines
             .iter()
             .flat_map(|(name, line)| line.out.iter().map(move |(number, sent)| (name, *number, sent.at)))
-            .filter(|(.., at)| now - at > GIVEN_UP)
+            .filter(|(.., at)| now - at > core.leases.length() / GIVEN_UP)
             .map(|(name, number, _)| (name.clone(), number))
             .collect();
         for (name, number) in old {
@@ -784,6 +808,14 @@
                 self.comes_to_nothing(core, now, &name, sent);
             }
         }
+        let version = core.stack.version();
+        let waiting = self.lines.iter().filter(|(_, line)| !line.parked.is_empty() && now >= line.next_try);
+        let back: Vec<String> = waiting
+            .filter(|(name, _)| core.leases.in_touch(now, name, version))
+            .map(|(n, _)| n.clone())
+            .collect();
+        back.iter().for_each(|name| self.in_touch(core, now, name));
+        self.flush(core, now);
         if self.was_alone && core.alone_open == 0 && core.in_touch(now) {
             self.was_alone = false;
             core.out.push(Do::Say(Event::Again));
--- a/copies/src/claim.rs
+++ b/copies/src/claim.rs
@@ -51,7 +51,8 @@
 ) -> Verdict {
     let others = fate.and_then(|fate| fate.others(claim.number));
     let (until, life) = lost;
-    if until > (now - life).max(0) && (claim.repeat || others.is_some()) {
+    let from_the_first = others.is_some_and(|(first, _)| first.original);
+    if until > (now - life).max(0) && !from_the_first && (claim.repeat || others.is_some()) {
         // There may have been one before all that are known.
         return Verdict::Unclear;
     }
--- a/copies/src/copier.rs
+++ b/copies/src/copier.rs
@@ -18,6 +18,14 @@
 /// A word to each other holder in each of so many parts of a lease.
 const RENEWS: Tenths = 4;
 
+/// What a life before has left on its disk.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Left {
+    /// None where not all of it could be read back.
+    pub meta: Option<Meta>,
+    pub records: Vec<Record>,
+}
+
 /// What is shown of it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Look {
@@ -51,11 +59,19 @@
 
 impl Copier {
     /// `kept`: what a life before has left with the same memory; none: this memory is a new one.
-    pub fn new(now: Tenths, me: Me, terms: Terms, kept: Option<(Meta, Vec<Record>)>) -> Copier {
+    pub fn new(now: Tenths, me: Me, terms: Terms, kept: Option<Left>) -> Copier {
         let mut core = Core::new(terms, me);
-        if let Some((meta, records)) = kept {
-            core.shelf.raise_floor(meta.floor);
-            core.stack.recovered(now, &meta.stack);
+        if let Some(Left { meta, records }) = kept {
+            match meta {
+                Some(meta) => {
+                    core.shelf.raise_floor(meta.floor);
+                    core.stack.recovered(now, &meta.stack);
+                }
+                // What it has kept for others may be gone, though it is taken for one that has it.
+                None => {
+                    core.shelf.raise_floor(now + terms.clocks);
+                }
+            }
             for record in records.iter().filter(|record| record.sound()) {
                 core.shelf.put(record);
             }
@@ -102,9 +118,16 @@
         self.out()
     }
 
-    /// A write comes; answered with its ticket: promised, without, or turned.
-    pub fn write(&mut self, now: Tenths, ticket: u64, session: u64, claim: Option<Claim>) -> Vec<Do> {
-        self.asking.begins(&mut self.core, now, ticket, session, claim);
+    /// A write comes; answered with its ticket, within the terms' wait and `most`: promised, without, or turned.
+    pub fn write(
+        &mut self,
+        now: Tenths,
+        ticket: u64,
+        session: u64,
+        claim: Option<Claim>,
+        most: Tenths,
+    ) -> Vec<Do> {
+        self.asking.begins(&mut self.core, now, ticket, session, claim, most);
         self.out()
     }
 
@@ -115,8 +138,8 @@
     }
 
     /// A read of a session comes; answered with what it owes.
-    pub fn read(&mut self, now: Tenths, ticket: u64, session: u64) -> Vec<Do> {
-        self.look(now, ticket, Kind::Position(session), self.core.terms.waits)
+    pub fn read(&mut self, now: Tenths, ticket: u64, session: u64, most: Tenths) -> Vec<Do> {
+        self.look(now, ticket, Kind::Position(session), self.core.terms.waits.min(most))
     }
 
     /// Any record, for so long.
@@ -292,7 +315,7 @@
     fn renew(&mut self, now: Tenths, name: &str) {
         let core = &mut self.core;
         let number = core.number();
-        let alone = core.alone_open > 0 && !plant("alone-unsaid");
+        let alone = (core.alone_open > 0 || now < core.retreats) && !plant("alone-unsaid");
         let echo = core.leases.asks(now, name, number, alone);
         let (alone, whole) = (core.alone_until, core.whole);
         core.send(name, number, Body::Renew { echo, alone, whole });
@@ -336,8 +359,6 @@
     pub fn shown(&self, now: Tenths) -> Look {
         let core = &self.core;
         let of = |is: fn(&Value) -> bool| core.shelf.all().filter(|record| is(&record.value)).count();
-        let layout = core.stack.newest();
-        let unseen = |name: &&str| **name != *core.me.name && !core.leases.accounted(now, name);
         let positions = of(|value| matches!(value, Value::Position(_)));
         let keys = of(|value| matches!(value, Value::Key(_)));
         Look {
@@ -355,9 +376,7 @@
             lost_until: core.lost_until,
             sizes: self.asking.sizes(),
             alone: core.alone_open > 0,
-            unseen: layout.map_or(Vec::new(), |l| {
-                l.holders.iter().map(|h| h.name.as_str()).filter(unseen).map(str::to_owned).collect()
-            }),
+            unseen: core.unseen(now).map(str::to_owned).collect(),
             repair: self.mending.took,
             counts: core.counts,
         }
@@ -371,7 +390,7 @@
             "copies.layout={} copies.base={} copies.whole={} copies.touch={} copies.records={} copies.bytes={} \
              copies.floor={} copies.waiting={waiting} copies.open={open} copies.parked={parked} copies.queued={queued} \
              promises={} unpromised={} turned={} unclear={} repeats={} exact={} owed={} put={} refused={} mended={} \
-             dropped={} copies.sent={} copies.heard={}",
+             dropped={} copies.sent={} copies.heard={} copies.unseen={}",
             core.stack.version(),
             core.stack.base(),
             core.whole,
@@ -391,7 +410,8 @@
             c.mended,
             c.dropped,
             c.sent,
-            c.heard
+            c.heard,
+            core.unseen(now).count()
         )
     }
 }
--- a/copies/src/core.rs
+++ b/copies/src/core.rs
@@ -174,12 +174,15 @@
     pub taking_part: bool,
     /// In this life it has been in touch with its layout as one of its holders: they miss it once it is not.
     pub met: bool,
+    /// Up to then it lets its leases elsewhere end: it could not promise something.
+    pub retreats: Tenths,
     /// Writes that are open without a promise, and up to when any was answered.
     pub alone_open: usize,
     pub alone_until: Tenths,
     /// This member's own part is whole up to that layout.
     pub whole: u64,
     pub lost_until: Tenths,
+    kept_floor: Tenths,
     keeps: u64,
     kept: u64,
     numbers: u32,
@@ -198,10 +201,12 @@
             failed: false,
             taking_part: false,
             met: false,
+            retreats: 0,
             alone_open: 0,
             alone_until: 0,
             whole: 0,
             lost_until: 0,
+            kept_floor: 0,
             keeps: 0,
             kept: 0,
             numbers: 0,
@@ -233,10 +238,15 @@
         Meta { floor: self.shelf.floor(), stack: self.stack.layouts().cloned().collect() }
     }
 
-    /// Keeps these records and, where it has changed, the rest; `after` waits for it.
+    /// Keeps these records, whole as they are held by now, and, where it has changed, the rest; `after` waits for it.
     pub fn keep(&mut self, records: Vec<Record>, meta: bool, after: Option<After>) {
         self.keeps += 1;
-        let meta = meta.then(|| self.meta());
+        // What was let go is stood for before anything of it is written anew.
+        let risen = self.shelf.floor() > self.kept_floor;
+        let meta = (meta || risen).then(|| self.meta());
+        self.kept_floor = self.shelf.floor();
+        let whole = |record: Record| self.shelf.get(record.kind).cloned().unwrap_or(record);
+        let records = records.into_iter().map(whole).collect();
         self.waiting.extend(after.map(|after| (self.keeps, after)));
         self.out.push(Do::Keep { number: self.keeps, records, meta });
     }
@@ -304,6 +314,13 @@
             || layout.holders.iter().any(|holder| unseen(&holder.name))
     }
 
+    /// Other holders that may be answering without a promise, as far as is known here.
+    pub fn unseen(&self, now: Tenths) -> impl Iterator<Item = &str> {
+        let holders = self.stack.newest().into_iter().flat_map(|layout| &layout.holders);
+        let names = holders.map(|holder| holder.name.as_str());
+        names.filter(move |name| *name != self.me.name && !self.leases.accounted(now, name))
+    }
+
     /// Who was not accounted for is no more: what it did lies before this instant.
     pub fn shows(&mut self, now: Tenths, shows: Shows) {
         if shows == Shows::EndedUnseen && self.shelf.raise_floor(now + self.terms.clocks) {
--- a/copies/src/lib.rs
+++ b/copies/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use asking::Came;
 pub use claim::{Claim, Drops, Verdict};
-pub use copier::{Copier, Look};
+pub use copier::{Copier, Left, Look};
 pub use core::{Do, Done, Event, Me, Meta, Terms};
 pub use message::Envelope;
 pub use place::{Copies, holders};
--- a/copies/src/mending.rs
+++ b/copies/src/mending.rs
@@ -247,7 +247,7 @@
                     buckets.extend(places.iter().map(|at| branch * BRANCHES as u16 + at));
                 }
             }
-            (Body::Piece { records, next }, Stage::Records(buckets, after)) => {
+            (Body::Piece { records, next, .. }, Stage::Records(buckets, after)) => {
                 job.brought += takes(core, records);
                 cost += records.len();
                 match next {
@@ -258,8 +258,12 @@
                     }
                 }
             }
-            (Body::Piece { records, next }, Stage::Mine(..)) => {
+            (Body::Piece { records, next, floor }, Stage::Mine(..)) => {
                 takes(core, records);
+                // What it has let go this one can't have from it.
+                if core.shelf.raise_floor(*floor) {
+                    core.keep(Vec::new(), true, None);
+                }
                 cost += records.len();
                 match next {
                     Some((from, after)) => job.stage = Stage::Mine(*from, *after),
--- a/copies/src/message.rs
+++ b/copies/src/message.rs
@@ -100,10 +100,11 @@
         from: u16,
         after: Option<Kind>,
     },
-    /// These; go on there.
+    /// These; go on there; what lies before the floor may be missing among them.
     Piece {
         records: Vec<Record>,
         next: Option<(u16, Option<Kind>)>,
+        floor: Tenths,
     },
     /// Which layouts count?
     Which,
--- a/copies/src/record.rs
+++ b/copies/src/record.rs
@@ -116,6 +116,8 @@
     /// Until when that set drops a repeat.
     pub until: Tenths,
     pub ended: Ended,
+    /// Its client did not call it a repeat: nothing was sent before it.
+    pub original: bool,
 }
 
 impl Try {
@@ -123,7 +125,7 @@
     fn join(&mut self, other: &Try) {
         // Of two that were first sent in one instant the lower set is named, by whoever merges them.
         if (other.first, other.set) < (self.first, self.set) {
-            (self.first, self.set) = (other.first, other.set);
+            (self.first, self.set, self.original) = (other.first, other.set, other.original);
         }
         self.until = self.until.min(other.until);
         self.ended = self.ended.max(other.ended);
--- a/copies/src/serving.rs
+++ b/copies/src/serving.rs
@@ -88,11 +88,13 @@
             let records: Vec<Record> = core.shelf.in_bucket(at).filter(ours).take(RECORDS).cloned().collect();
             let full = records.len() == RECORDS;
             let next = records.last().filter(|_| full).map(|last| (*bucket, Some(last.kind)));
-            core.send(to, number, Body::Piece { records, next });
+            let floor = core.shelf.floor();
+            core.send(to, number, Body::Piece { records, next, floor });
         }
         Body::Mine { from, after } => {
             let (records, next) = newly(core, to, memory, usize::from(*from), *after);
-            core.send(to, number, Body::Piece { records, next });
+            let floor = core.shelf.floor();
+            core.send(to, number, Body::Piece { records, next, floor });
         }
         _ => {}
     }
--- a/copies/src/shelf.rs
+++ b/copies/src/shelf.rs
@@ -16,6 +16,9 @@
     (kind.number() >> 52) as usize % BUCKETS
 }
 
+/// The floor rises in steps of ten seconds by what has lived long enough.
+const STEP: Tenths = 100_000;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Records at most, and their bytes.
@@ -160,8 +163,10 @@
             };
             let positions =
                 self.buckets[at].values().filter(|r| old(r) && matches!(r.value, Value::Position(_)));
-            let last = positions.map(Record::touched).max().unwrap_or(0);
-            self.raise_floor(last);
+            if let Some(last) = positions.map(Record::touched).max() {
+                // Seldom, as it is kept each time.
+                self.raise_floor((last / STEP + 1) * STEP);
+            }
             self.drop_from(at, old);
         }
     }
--- a/copies/tests/copies.rs
+++ b/copies/tests/copies.rs
@@ -53,6 +53,7 @@
                     first: number,
                     until: 9 + number,
                     ended,
+                    original: number % 2 == 0,
                 };
                 let numbers = [small(), small(), small()];
                 let tries = numbers.map(|n| (n as u64, one(n, ended[small() as usize % 4])));
@@ -90,7 +91,7 @@
 
 #[test]
 fn a_repeat_goes_only_inside_the_set_and_window_as_first_sent_anywhere() {
-    let one = |set, first, ended| Try { set, first, until: first + 20_000, ended };
+    let one = |set, first, ended| Try { set, first, until: first + 20_000, ended, original: false };
     let claim = |set, repeat| Claim { key: 9, number: 7, set, drops: Drops::Set, window: 20_000, repeat };
     let mut record =
         Record { kind: Kind::Key(9), value: Value::Key(Fate::of(1, one(2, 500, Ended::Unclear))) };
@@ -108,6 +109,11 @@
         "one before may have been lost"
     );
     assert_eq!(of(&record, &claim(2, true), 80_000, 10_000), Verdict::Unclear);
+    // Nothing was sent before one that its client did not call a repeat.
+    let mut known = record.clone();
+    let original = Try { original: true, ..one(2, 400, Ended::Open) };
+    known.merge(&Record { kind: Kind::Key(9), value: Value::Key(Fate::of(2, original)) });
+    assert_eq!(of(&known, &claim(2, true), 20_000, 10_000), Verdict::Repeat(400));
     for drops in [Drops::Zone, Drops::Everywhere] {
         let claim = Claim { drops, ..claim(3, true) };
         let goes = drops == Drops::Everywhere;
@@ -164,7 +170,9 @@
     let limits = Limits { records: 1_000, bytes: 1 << 20, keeps: 50_000, key_life: 30_000 };
     let mut shelf = Shelf::new(limits);
     let wrote = |at| Value::Position(Wrote { at, ..Wrote::default() });
-    let key = |at| Value::Key(Fate::of(1, Try { set: 0, first: at, until: at + 9, ended: Ended::Ran }));
+    let key = |at| {
+        Value::Key(Fate::of(1, Try { set: 0, first: at, until: at + 9, ended: Ended::Ran, original: true }))
+    };
     let mut chance = Rng::with_seed(5);
     let mut truth = BTreeMap::new();
     for n in 0..20_000u64 {
--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -167,6 +167,7 @@
             token: carried.then(|| now + 1 - down(f64::from(request.token_age_ms))),
             hold_till: 0,
             repeat: request.bits & 2 != 0,
+            first: None,
         })
     }
 
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -7,7 +7,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashSet, VecDeque};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::ops::Range;
@@ -20,19 +20,23 @@
 use leverpoint::decide::Decider;
 use leverpoint::indices::{HeldCommand, Indices, Sessions};
 use leverpoint::interface::{
-    Arrival, DispatchEnd, Effect, Effects, Ending, Input, Listed, Need, News, Phase, Tenths, Token::Carried,
-    Word,
+    self, Arrival, DispatchEnd, Effect, Effects, Ending, Input, Listed, Need, News, Phase, Reach, Tenths,
+    Token::Carried, Word,
 };
 use leverpoint_facts::operator::Follow;
 use leverpoint_facts::settings::{Opened, down, span, up};
 use leverpoint_ground::{Instant, now, plant, since, sleep_until, unix};
 use tokio::sync::{Notify, oneshot};
 
+use crate::copied::{Came, Claim, Copied, Drops, Leave};
 use crate::counters::{Counters, add};
 use crate::fault::{Cause, Fault, Reached};
 use crate::peers::{Peer, Room};
 use crate::sessions::{Ledger, Of};
 
+/// Holders of copies are asked for this part of a client's patience at most.
+const ASKS: Tenths = 8;
+
 /// Unix time, read once; from then on it only goes forward.
 struct Clock {
     began: Instant,
@@ -80,7 +84,8 @@
     pub set: u16,
     /// How long the client will wait, in milliseconds.
     pub wait: f64,
-    pub keyed: bool,
+    /// Its idempotency key, empty where it has none.
+    pub mark: &'a str,
     pub repeat: bool,
     pub after: Option<After<'a>>,
     /// The quoted key.
@@ -200,6 +205,9 @@
             if !ledger.covers(of, self.exchange.clock.now(), word) {
                 return Ending::Missed;
             }
+            if of.write {
+                self.exchange.answers_write(self.errand, word);
+            }
             row.token = ledger.token(of, word);
         }
         self.deliver(row);
@@ -285,6 +293,7 @@
     Arrived(Arrival),
     Ended { cmd: usize, nth: u32, server: usize, ending: Ending, took: Tenths, said: Option<Spoken> },
     HungUp(usize),
+    Told(Vec<interface::Claim>),
     Due(u32),
     Probed { server: usize, ok: bool, said: Option<Spoken> },
 }
@@ -294,7 +303,7 @@
         match self {
             Event::Arrived(arrival) => Some(arrival.cmd),
             Event::Ended { cmd, .. } | Event::HungUp(cmd) => Some(*cmd),
-            Event::List(..) | Event::Due(_) | Event::Probed { .. } => None,
+            Event::List(..) | Event::Told(_) | Event::Due(_) | Event::Probed { .. } => None,
         }
     }
 }
@@ -308,6 +317,29 @@
     peer: Rc<Peer>,
     dispatches: u32,
     out: Vec<(u32, Rc<Notify>)>,
+    /// By what others have been told of it, and whether it may have run.
+    copy: Option<u64>,
+    may_have_run: bool,
+}
+
+/// A command that is not given to the module yet: its holders are asked first.
+struct Waiting {
+    running: Running,
+    arrival: Arrival,
+    place: Rc<Cell<Place>>,
+    /// Its session, its group, the time left to its target.
+    session: u64,
+    need: Need,
+    target: Tenths,
+    carried: Option<String>,
+}
+
+/// Where a ticket's command stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Place {
+    Waiting(u64),
+    Taken(usize),
+    Over,
 }
 
 struct Inner {
@@ -320,16 +352,21 @@
     sessions: Sessions<Box<str>>,
     servers: Indices<String>,
     sets: Indices<u16>,
-    places: Vec<Place>,
+    places: Vec<Site>,
+    /// Commands whose holders are asked, and the number of the next.
+    waiting: BTreeMap<u64, Waiting>,
+    waited: u64,
     timers: BinaryHeap<Reverse<(Tenths, u32)>>,
 }
 
 /// What is held of a server beside the module.
 #[derive(Clone, Default)]
-struct Place {
+struct Site {
     known: bool,
     address: Option<SocketAddr>,
     started_ms: f64,
+    set: u16,
+    drained: bool,
 }
 
 pub struct Exchange {
@@ -348,6 +385,9 @@
     listed: Cell<bool>,
     first_list: Notify,
     pub counters: Rc<Counters>,
+    /// None where nothing of it is copied.
+    copied: RefCell<Option<Rc<dyn Copied>>>,
+    revision: Cell<u64>,
     /// None where sessions are not followed beyond what the module remembers.
     pub sessions: Option<Ledger>,
     log: slog::Logger,
@@ -356,7 +396,7 @@
 /// A command that waits for its final answer; letting go of it earlier means that the client has gone.
 pub struct Ticket {
     exchange: Rc<Exchange>,
-    cmd: usize,
+    place: Rc<Cell<Place>>,
     answer: oneshot::Receiver<Final>,
     done: bool,
     pub group: usize,
@@ -377,7 +417,11 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         if !self.done {
-            self.exchange.take(Event::HungUp(self.cmd));
+            match self.place.get() {
+                Place::Taken(cmd) => self.exchange.take(Event::HungUp(cmd)),
+                Place::Waiting(number) => self.exchange.hung_up_early(number),
+                Place::Over => {}
+            }
         }
     }
 }
@@ -401,6 +445,8 @@
             servers: Indices::default(),
             sets: Indices::default(),
             places: Vec::new(),
+            waiting: BTreeMap::new(),
+            waited: 0,
             timers: BinaryHeap::new(),
         };
         Rc::new(Exchange {
@@ -416,6 +462,8 @@
             first_list: Notify::new(),
             opened,
             carrier: RefCell::new(None),
+            copied: RefCell::new(None),
+            revision: Cell::new(0),
             timers_changed: Notify::new(),
             counters,
             log,
@@ -426,6 +474,12 @@
         *self.carrier.borrow_mut() = Some(carrier);
     }
 
+    /// From here on others hold copies of what this gateway holds for others.
+    pub fn set_copied(&self, copied: Rc<dyn Copied>) {
+        self.sessions.iter().for_each(Ledger::is_copied);
+        *self.copied.borrow_mut() = Some(copied);
+    }
+
     /// The longest that any client waits.
     pub fn longest_timeout(&self) -> Duration {
         let longest = self.opened.facts.groups.iter().map(|g| g.timeout).max().unwrap_or(0);
@@ -460,7 +514,7 @@
             return Err(bad("22023", format!("c: {} does not fit the statement", said.group)));
         }
         let keyed = matches!(facts.effect, Effects::Keyed { .. });
-        if keyed && !said.keyed {
+        if keyed && said.mark.is_empty() {
             return Err(bad("22023", format!("k: expected an idempotency key for {}", said.group)));
         }
         let mut guard = self.inner.borrow_mut();
@@ -495,9 +549,6 @@
             Some(After::Token(text)) => (None, Some(text)),
             None => (None, None),
         };
-        let ledger = self.sessions.as_ref();
-        let of = ledger.and_then(|l| l.arrives(facts.need, (said.set, said.key), set, now, target, token));
-        let debt = of.and_then(|of| of.debt);
         // What a client says by itself counts where the settings have it carry its position.
         let carries = self.opened.facts.token == Carried;
         let after = after.filter(|&at| at > 0.0 && carries).map(up);
@@ -510,38 +561,175 @@
                 wait_at: said.wait_at.clone(),
                 write,
             }),
-            of,
+            of: None,
             answer: Some(answer),
             peer: peer.clone(),
             dispatches: 0,
             out: Vec::new(),
+            copy: None,
+            may_have_run: false,
         };
-        let cmd = match inner.free.pop() {
-            Some(cmd) => cmd,
-            None => {
-                inner.commands.push(None);
-                inner.commands.len() - 1
-            }
-        };
-        inner.commands[cmd] = Some(running);
         self.counters.taken(group);
         let arrival = Arrival {
-            cmd,
+            cmd: 0,
             group,
             customer,
             set,
             session,
             ends,
-            token: after.max(debt.map(|debt| debt.token)),
-            hold_till: debt.map_or(0, |debt| debt.hold_till),
+            token: after,
+            hold_till: 0,
             repeat: said.repeat,
+            first: None,
+        };
+        let (need, effect) = (facts.need, facts.effect);
+        let place = Rc::new(Cell::new(Place::Over));
+        let ticket = Ticket {
+            exchange: self.clone(),
+            place: place.clone(),
+            answer: receiver,
+            done: false,
+            group,
+            until,
+        };
+        let followed = self.sessions.as_ref().map(|ledger| ledger.number(said.set, said.key));
+        let waiting = Waiting {
+            running,
+            arrival,
+            place,
+            session: followed.unwrap_or(0),
+            need,
+            target,
+            carried: token.map(str::to_owned),
+        };
+        let copied = self.copied.borrow().clone().filter(|_| followed.is_some());
+        let ledger = self.sessions.as_ref();
+        let asks = match need {
+            Need::Write => true,
+            Need::Session => token.is_none() && ledger.is_some_and(|l| l.wants(waiting.session, now)),
+            _ => false,
+        };
+        let Some(copied) = copied.filter(|_| asks) else {
+            drop(guard);
+            self.let_go(waiting, None);
+            return Ok(ticket);
         };
+        let claim = match effect {
+            Effects::Keyed { window, reach } => ledger.map(|ledger| Claim {
+                key: ledger.key(said.customer.unwrap_or_default(), said.mark),
+                number: ledger.key(said.id, said.mark) ^ self.opened.facts.seed,
+                set: said.set,
+                drops: match reach {
+                    Reach::Everywhere => Drops::Everywhere,
+                    Reach::Zone => Drops::Zone,
+                    Reach::Set => Drops::Set,
+                },
+                window,
+                repeat: said.repeat,
+            }),
+            _ => None,
+        };
+        inner.waited += 1;
+        let (number, session) = (inner.waited, waiting.session);
+        waiting.place.set(Place::Waiting(number));
+        inner.waiting.insert(number, waiting);
         drop(guard);
-        let ticket = Ticket { exchange: self.clone(), cmd, answer: receiver, done: false, group, until };
-        self.take(Event::Arrived(arrival));
+        let exchange = self.clone();
+        if need == Need::Write {
+            let then = Box::new(move |copy, leave| exchange.left(number, copy, leave));
+            let copy = copied.write(session, claim, (ends - now) / ASKS, then);
+            if let Some(waiting) = self.inner.borrow_mut().waiting.get_mut(&number) {
+                waiting.running.copy = Some(copy);
+            }
+        } else {
+            let then = Box::new(move |asked| {
+                let waiting = exchange.inner.borrow_mut().waiting.remove(&number);
+                if let Some(waiting) = waiting {
+                    exchange.let_go(waiting, asked);
+                }
+            });
+            copied.read(session, (ends - now) / ASKS, then);
+        }
         Ok(ticket)
     }
 
+    /// What has become of a write whose holders were asked.
+    fn left(self: &Rc<Self>, number: u64, copy: u64, leave: Leave) {
+        let Some(mut waiting) = self.inner.borrow_mut().waiting.remove(&number) else { return };
+        waiting.running.copy = Some(copy);
+        match leave {
+            Leave::Go { first, until } => {
+                waiting.arrival.first = first;
+                let ends = waiting.arrival.ends;
+                // A tick is kept in hand, as with windows that the module keeps itself.
+                waiting.arrival.ends = until.map_or(ends, |until| ends.min(until - self.opened.facts.grain));
+                self.let_go(waiting, None);
+            }
+            Leave::Unclear => self.ends_early(waiting, Some(Final::Failed)),
+            Leave::Turned(wait) => {
+                waiting.running.copy = None;
+                let allowed = &self.opened.facts.allowed;
+                let wait = if allowed.come_back { wait.min(allowed.longest_come_back) } else { 0 };
+                self.ends_early(waiting, Some(Final::Throttled(wait as u64 / 10)));
+            }
+        }
+    }
+
+    /// A command comes to its end before the module has heard of it.
+    fn ends_early(&self, mut waiting: Waiting, answer: Option<Final>) {
+        waiting.place.set(Place::Over);
+        let copied = self.copied.borrow().clone();
+        if let (Some(copied), Some(copy)) = (copied, waiting.running.copy) {
+            copied.ended(copy, Came::Never);
+        }
+        {
+            let mut inner = self.inner.borrow_mut();
+            inner.open.remove(&waiting.running.id);
+            inner.sessions.over(&waiting.running.held);
+        }
+        if let (Some(answer), Some(client)) = (answer, waiting.running.answer.take()) {
+            add(match answer {
+                Final::Throttled(_) => &self.counters.throttled,
+                _ => &self.counters.failed,
+            });
+            let _ = client.send(answer);
+        }
+    }
+
+    fn hung_up_early(&self, number: u64) {
+        let waiting = self.inner.borrow_mut().waiting.remove(&number);
+        if let Some(waiting) = waiting {
+            self.counters.hung_up();
+            self.ends_early(waiting, None);
+        }
+    }
+
+    /// Gives a command to the module; `asked`: what its session owes, as its holders say.
+    fn let_go(self: &Rc<Self>, waiting: Waiting, asked: Option<Tenths>) {
+        let Waiting { mut running, mut arrival, place, session, need, target, carried } = waiting;
+        let now = self.clock.now();
+        let ledger = self.sessions.as_ref();
+        let of = ledger
+            .and_then(|l| l.arrives(need, session, arrival.set, now, target, carried.as_deref(), asked));
+        let debt = of.and_then(|of| of.debt);
+        arrival.token = arrival.token.max(debt.map(|debt| debt.token));
+        arrival.hold_till = debt.map_or(0, |debt| debt.hold_till);
+        running.of = of;
+        let mut inner = self.inner.borrow_mut();
+        let cmd = match inner.free.pop() {
+            Some(cmd) => cmd,
+            None => {
+                inner.commands.push(None);
+                inner.commands.len() - 1
+            }
+        };
+        inner.commands[cmd] = Some(running);
+        drop(inner);
+        arrival.cmd = cmd;
+        place.set(Place::Taken(cmd));
+        self.take(Event::Arrived(arrival));
+    }
+
     fn take(self: &Rc<Self>, event: Event) {
         self.inbox.borrow_mut().push_back(event);
         if self.busy.replace(true) {
@@ -579,6 +767,7 @@
         match event {
             Event::List(news, listed) => inner.decider.take(now, &Input::List(news, &listed), effects),
             Event::Arrived(arrival) => inner.decider.take(now, &Input::Arrived(arrival), effects),
+            Event::Told(claims) => inner.decider.take(now, &Input::Told(&claims), effects),
             Event::Due(key) => inner.decider.take(now, &Input::Due(key), effects),
             Event::Probed { server, ok, said } => {
                 let word = self.word(said, false);
@@ -606,6 +795,9 @@
                 if let (Some(ledger), Some(of)) = (&self.sessions, &running.of) {
                     ledger.ended(of, now, ending, word);
                 }
+                running.may_have_run |= !ending.never_ran();
+                let copy = if ending == Ending::Answered && held.write { running.copy.take() } else { None };
+                self.tell_holders(copy, now, word);
                 inner.sessions.ended(&held, ending, word);
                 let end = DispatchEnd { cmd, nth, server, ending, took, over: held.over, word };
                 inner.decider.take(now, &Input::Ended(end), effects);
@@ -615,6 +807,26 @@
         touched
     }
 
+    /// What a write has come to, for its holders.
+    fn tell_holders(&self, copy: Option<u64>, now: Tenths, word: Option<Word>) {
+        if let (Some(copied), Some(copy)) = (&*self.copied.borrow(), copy) {
+            let unclear = || Came::Unclear(self.sessions.as_ref().map_or(now, |l| l.instant(now)));
+            let position = word.and_then(|word| word.position);
+            copied.ended(copy, position.map_or_else(unclear, Came::Answered));
+        }
+    }
+
+    /// A write's row is about to go out: its holders are told first, so that what they are told is on its way before the
+    /// answer is.
+    fn answers_write(&self, errand: Errand, word: Option<Word>) {
+        let Errand::Dispatch { cmd, .. } = errand else { return };
+        let mut inner = self.inner.borrow_mut();
+        let running = inner.commands.get_mut(cmd).and_then(Option::as_mut);
+        let copy = running.filter(|r| !r.held.over).and_then(|running| running.copy.take());
+        drop(inner);
+        self.tell_holders(copy, self.clock.now(), word);
+    }
+
     /// What a server has said of itself, as far as it can be true.
     fn word(&self, said: Option<Spoken>, commit: bool) -> Option<Word> {
         let said = said?;
@@ -651,8 +863,17 @@
             Effect::Probe { server } => {
                 self.order(Errand::Probe, server, None, self.opened.connect_timeout, Rc::default());
             }
-            // The protocol's pages do not say how gateways reach each other.
-            Effect::Tell(_) => {}
+            // The protocol's pages do not say how gateways reach each other; where they are members, their holders keep it.
+            Effect::Tell(claim) => {
+                let copied = self.copied.borrow().clone();
+                if let Some(copied) = copied {
+                    let inner = self.inner.borrow();
+                    let (set, server) =
+                        (inner.places[claim.server].set, inner.servers.id(claim.server).clone());
+                    drop(inner);
+                    copied.role(set, &server, claim.at);
+                }
+            }
             Effect::AskList => {
                 self.ask_once.set(true);
                 self.list_wanted.notify_one();
@@ -665,7 +886,7 @@
             Effect::ForgetServer(server) => {
                 let mut inner = self.inner.borrow_mut();
                 inner.servers.let_go(server);
-                inner.places[server] = Place::default();
+                inner.places[server] = Site::default();
                 drop(inner);
                 self.carrier.borrow().iter().for_each(|carrier| carrier.let_go(server));
             }
@@ -771,10 +992,31 @@
         inner.free.push(cmd);
         inner.open.remove(&running.id);
         inner.sessions.over(&running.held);
+        drop(inner);
+        let copied = self.copied.borrow().clone();
+        if let (Some(copied), Some(copy)) = (copied, running.copy) {
+            let now = self.clock.now();
+            let instant = self.sessions.as_ref().map_or(now, |ledger| ledger.instant(now));
+            copied.ended(copy, if running.may_have_run { Came::Unclear(instant) } else { Came::Never });
+        }
     }
 
-    /// News of the list; the module is told it as what it is.
-    pub fn list(self: &Rc<Self>, news: News, entries: &[Entry]) {
+    /// What the holders of roles say: servers that said they are primaries, by set and time.
+    pub fn told(self: &Rc<Self>, roles: &[(u16, String, Tenths)]) {
+        let claims = {
+            let inner = self.inner.borrow();
+            let claim = |(set, server, at): &(u16, String, Tenths)| {
+                let server = inner.servers.find(server)?;
+                (inner.places.get(server)?.set == *set).then_some(interface::Claim { server, at: *at })
+            };
+            roles.iter().filter_map(claim).collect()
+        };
+        self.take(Event::Told(claims));
+    }
+
+    /// News of the list, by its revision where it has one; the module is told it as what it is.
+    pub fn list(self: &Rc<Self>, news: News, revision: u64, entries: &[Entry]) {
+        self.revision.set(self.revision.get().max(revision));
         let mut left = Vec::new();
         let listed: Vec<_> = {
             let mut inner = self.inner.borrow_mut();
@@ -793,15 +1035,30 @@
         }
         self.listed.set(true);
         self.first_list.notify_waiters();
+        if news != News::Remembered {
+            self.tell_drains();
+        }
         if let Some(carrier) = self.carrier.borrow().as_ref() {
             left.into_iter().for_each(|server| carrier.let_go(server));
         }
     }
 
+    /// Who is drained by the list as it is now, for those who come later.
+    fn tell_drains(&self) {
+        let copied = self.copied.borrow().clone();
+        let Some(copied) = copied else { return };
+        let inner = self.inner.borrow();
+        let drained = inner.places.iter().enumerate().filter(|(_, site)| site.drained);
+        let mut names: Vec<String> = drained.map(|(server, _)| inner.servers.id(server).clone()).collect();
+        drop(inner);
+        names.sort_unstable();
+        copied.list(self.revision.get(), names);
+    }
+
     fn listed(&self, inner: &mut Inner, entry: &Entry, left: &mut Vec<usize>) -> Listed {
         let server = inner.servers.index(&entry.uid);
         if inner.places.len() <= server {
-            inner.places.resize(server + 1, Place::default());
+            inner.places.resize(server + 1, Site::default());
         }
         let place = &mut inner.places[server];
         if !std::mem::replace(&mut place.known, true) {
@@ -814,6 +1071,7 @@
             left.push(server);
         }
         (place.address, place.started_ms) = (address, entry.started_ms);
+        (place.set, place.drained) = (entry.set, entry.phase == Phase::Draining);
         let zones = &self.opened.zones;
         Listed {
             server,
@@ -841,7 +1099,8 @@
 
     /// Commands that have no final answer yet.
     pub fn open(&self) -> usize {
-        self.inner.borrow().commands.iter().flatten().filter(|r| !r.held.over).count()
+        let inner = self.inner.borrow();
+        inner.commands.iter().flatten().filter(|r| !r.held.over).count() + inner.waiting.len()
     }
 
     /// Keeps the module's timers.
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Nothing here decides for the module or reads a protocol.
 
+pub mod copied;
 pub mod counters;
 pub mod descriptors;
 pub mod exchange;
--- a/exchange/src/sessions.rs
+++ b/exchange/src/sessions.rs
@@ -29,6 +29,8 @@
     secret: u64,
     looked: Cell<Tenths>,
     keeper: RefCell<Option<Keeper>>,
+    /// Whether others hold copies: then a write's position goes to them before its answer goes out.
+    copied: Cell<bool>,
 }
 
 /// Both clocks are looked at so often.
@@ -46,9 +48,34 @@
             secret: follow.number,
             looked: Cell::new(now),
             keeper: RefCell::new(None),
+            copied: Cell::new(false),
         }
     }
 
+    /// From here on others hold copies.
+    pub fn is_copied(&self) {
+        self.copied.set(true);
+    }
+
+    pub fn number(&self, set: u16, key: &str) -> u64 {
+        number(self.secret, set, key)
+    }
+
+    /// The number of a keyed command, wherever it comes.
+    pub fn key(&self, customer: &str, key: &str) -> u64 {
+        // Apart from sessions, whose text begins with no such byte.
+        number(self.secret, 0, &format!("\u{1}{customer}\u{1}{key}"))
+    }
+
+    /// Whether a read would owe the instant, by what is known here alone.
+    pub fn wants(&self, session: u64, now: Tenths) -> bool {
+        self.book.borrow().wants(session, now)
+    }
+
+    pub fn instant(&self, now: Tenths) -> Tenths {
+        self.book.borrow().instant(now)
+    }
+
     /// Who takes what is worth keeping.
     pub fn keep_by(&self, keeper: Keeper) {
         *self.keeper.borrow_mut() = Some(keeper);
@@ -66,18 +93,18 @@
         }
     }
 
-    /// A command comes; `carried`: the text of a token.
+    /// A command comes; `carried`: the text of a token; `asked`: what the holders of its session's positions say.
     #[allow(clippy::too_many_arguments)]
     pub fn arrives(
         &self,
         need: Need,
-        said: (u16, &str),
+        session: u64,
         set: usize,
         now: Tenths,
         target: Tenths,
         carried: Option<&str>,
+        asked: Option<Tenths>,
     ) -> Option<Of> {
-        let session = number(self.secret, said.0, said.1);
         let of = |write, debt| Of { session, set, came: now, write, debt };
         self.look(now);
         let mut book = self.book.borrow_mut();
@@ -91,7 +118,7 @@
                 if carried.is_some() && named.is_none() {
                     book.counts.refused_tokens += 1;
                 }
-                Some(of(false, Some(book.reads(session, set, now, target, named))))
+                Some(of(false, Some(book.reads(session, set, now, target, named, asked))))
             }
             _ => None,
         }
@@ -106,7 +133,11 @@
 
     /// Whether the row of this command is kept until the server has said its role and position.
     pub fn waits_for_word(&self, of: &Of) -> bool {
-        if of.write { !self.keys.is_empty() } else { of.debt.is_some() && !plant("uncovered") }
+        if of.write {
+            !self.keys.is_empty() || self.copied.get()
+        } else {
+            of.debt.is_some() && !plant("uncovered")
+        }
     }
 
     /// A write's row is whole, and what the server says behind it is not in yet: until then its position is not known.
@@ -155,13 +186,14 @@
         let book = self.book.borrow();
         let c = book.counts;
         format!(
-            "sessions.known={} sessions.bytes={} reads.exact={} reads.instant={} reads.carried={} \
+            "sessions.known={} sessions.bytes={} reads.exact={} reads.instant={} reads.carried={} reads.asked={} \
              tokens.refused={} sessions.let_go={} epochs={}",
             book.sessions(),
             book.bytes(),
             c.exact,
             c.instant,
             c.carried,
+            c.asked,
             c.refused_tokens,
             c.let_go,
             c.epochs
--- /dev/null
+++ b/facts/src/copies.rs
@@ -0,0 +1,105 @@
+//! Owns the operator's block `copies`: whether and how what this gateway holds for others is copied to further ones.
+//!
+//! It must never let copies be on where sessions are not followed by one number at all gateways.
+
+use leverpoint_copies::shelf::Limits;
+use leverpoint_copies::{Copies, Terms};
+use leverpoint_pace::Tenths;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::key::Fault;
+use crate::unit::{Bytes, Span};
+
+/// Copies of what a gateway holds for others, at further members of its fleet.
+#[derive(Debug, Default, Deserialize, Serialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub(crate) struct Block {
+    /// Whether anything is copied; the same for all members.
+    #[schemars(extend("x-expected" = "true or false"))]
+    on: Option<bool>,
+    /// How many copies there are of each thing; one fewer than half of them may be lost. The same for all members.
+    #[schemars(extend("enum" = [1, 3, 5, 7], "x-expected" = "1, 3, 5 or 7"))]
+    copies: Option<u32>,
+    /// A gateway that has said nothing for so long may be answering without promises; the same for all members.
+    lease: Option<Span>,
+    /// How long a write waits for its holders, and a session's read, at most.
+    waits: Option<Span>,
+    /// How long what a session has written is held after the last word of it.
+    keeps: Option<Span>,
+    /// Records held at most.
+    #[schemars(range(min = 1024, max = 16_000_000), extend("x-expected" = "a whole number from 1024 to 16000000"))]
+    records: Option<u32>,
+    /// What they may take in memory.
+    memory: Option<Bytes>,
+    /// Records that repair asks for in a second at most.
+    #[schemars(range(min = 100, max = 10_000_000), extend("x-expected" = "a whole number from 100 to 10000000"))]
+    rate: Option<u32>,
+    /// How long a gateway that starts waits for what its holders know of drains and primaries.
+    starts: Option<Span>,
+}
+
+/// How things are copied.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Copying {
+    pub terms: Terms,
+    pub starts: Tenths,
+}
+
+/// A gateway that starts serves after so long at the latest, whoever answers.
+const STARTS: Tenths = 10_000;
+
+impl Block {
+    /// `clocks`: how far clocks may differ; `patience`: the longest that a client waits, and the longest window in which
+    /// a repeat is dropped; `member`, `followed`: what copies stand on.
+    pub(crate) fn copying(
+        &self,
+        clocks: Tenths,
+        patience: Tenths,
+        member: bool,
+        followed: bool,
+        fault: &dyn Fn(&str, &str) -> Fault,
+    ) -> Result<Option<Copying>, Fault> {
+        if !self.on.unwrap_or(false) {
+            return Ok(None);
+        }
+        if !member {
+            return Err(fault("on", "false, or members.listen as well"));
+        }
+        if !followed {
+            return Err(fault("on", "false, or sessions.follow and sessions.number as well"));
+        }
+        let usual = Terms::default();
+        let span = |said: &Option<Span>, or: Tenths| said.as_ref().map_or(or, Span::value);
+        let copies = self.copies.map_or(Some(Copies::USUAL), |many| Copies::new(many as usize));
+        let copies = copies.ok_or_else(|| fault("copies", "1, 3, 5 or 7"))?;
+        let lease = span(&self.lease, usual.lease);
+        if !(2_000..=600_000).contains(&lease) {
+            return Err(fault("lease", "a time from \"200ms\" to \"1m\""));
+        }
+        // A client may repeat for as long as it waits; what it repeats may be on its way for as long again.
+        let key_life = 2 * patience + 2 * clocks;
+        let keeps = span(&self.keeps, usual.limits.keeps);
+        if keeps < key_life {
+            let least =
+                format!("at least \"{}ms\", twice what a client or a key's window takes", key_life / 10 + 1);
+            return Err(fault("keeps", &least));
+        }
+        let limits = Limits {
+            records: self.records.map_or(usual.limits.records, |n| n as usize),
+            bytes: self.memory.as_ref().map_or(usual.limits.bytes, Bytes::value),
+            keeps,
+            key_life,
+        };
+        let terms = Terms {
+            copies,
+            lease,
+            clocks,
+            waits: span(&self.waits, usual.waits),
+            open: key_life,
+            limits,
+            rate: self.rate.map_or(usual.rate, |n| n as usize),
+        };
+        Ok(Some(Copying { terms, starts: span(&self.starts, STARTS) }))
+    }
+}
--- a/facts/src/lib.rs
+++ b/facts/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`members`] the block of it that makes a process a member of a fleet. Every message names the faulty key and what was expected of it.
 //! Nothing here decides or holds a tuned value, and nothing outside reads a setting by its wire name.
 
+pub mod copies;
 mod file;
 mod key;
 pub mod members;
--- a/facts/src/members.rs
+++ b/facts/src/members.rs
@@ -80,6 +80,11 @@
 const MOST_BEAT: Tenths = 600_000;
 
 impl Block {
+    /// Whether this process is a member of any fleet.
+    pub(crate) fn listens(&self) -> bool {
+        self.listen.is_some()
+    }
+
     /// `fault` names a key of this block and what was expected of it.
     pub(crate) fn membership(
         &self,
--- a/facts/src/operator.rs
+++ b/facts/src/operator.rs
@@ -16,6 +16,7 @@
 
 use leverpoint_sessions::{Keys, Terms};
 
+use crate::copies;
 use crate::file;
 use crate::key::Fault;
 use crate::members;
@@ -28,6 +29,7 @@
     slow: Slow,
     sessions: Sessions,
     members: members::Block,
+    copies: copies::Block,
 }
 
 /// Sessions beyond what passes through this process: what a read must see, whoever took its session's writes.
@@ -323,6 +325,17 @@
         })
     }
 
+    /// How what this gateway holds for others is copied; none where it is not. `patience`: the longest that a client waits
+    /// or a repeat is dropped.
+    pub fn copying(&self, patience: Tenths) -> Result<Option<copies::Copying>, Fault> {
+        let (sessions, members) = (&self.blocks.sessions, &self.blocks.members);
+        let clocks = sessions.clocks.as_ref().map_or(Terms::default().clocks, Span::value);
+        let followed = sessions.follow.unwrap_or(false) && sessions.number.is_some();
+        self.blocks.copies.copying(clocks, patience, members.listens(), followed, &|key, expected| {
+            self.fault(&format!("/copies/{key}"), expected)
+        })
+    }
+
     /// Keys that another reading has found changed.
     pub fn changed(&self, again: &Operator) -> Vec<String> {
         let mut out = Vec::new();
--- a/facts/tests/operator.rs
+++ b/facts/tests/operator.rs
@@ -87,3 +87,25 @@
     let faults: Vec<String> = texts.iter().map(|text| member(text).expect_err(text)).collect();
     insta::assert_snapshot!(faults.join("\n"));
 }
+
+#[test]
+fn copies_stand_on_members_and_sessions_or_name_what_is_missing() {
+    let members = "members {\n  listen = \"127.0.0.1:7432\"\n  fleet = \"hall\"\n  keys = [\"1:00112233445566778899aabbccddeeff\"]\n}\n";
+    let sessions = "sessions {\n  follow = true\n  number = \"8c1f30d27a5be964\"\n}\n";
+    let texts = [
+        "copies {\n  on = true\n}".to_owned(),
+        format!("{members}copies {{\n  on = true\n}}"),
+        format!("{members}{sessions}copies {{\n  on = true\n  copies = 4\n}}"),
+        format!("{members}{sessions}copies {{\n  on = true\n  lease = \"50ms\"\n}}"),
+        format!("{members}{sessions}copies {{\n  on = true\n  keeps = \"3s\"\n}}"),
+    ];
+    let mut out = String::new();
+    for text in &texts {
+        let read = read(text).and_then(|o| o.copying(20_000).map_err(|f| f.to_string()));
+        out += &format!("{}\n", read.expect_err(text));
+    }
+    let whole = read(&format!("{members}{sessions}copies {{\n  on = true\n  waits = \"20ms\"\n}}")).unwrap();
+    out += &format!("{:?}\n", whole.copying(20_000).unwrap().unwrap());
+    assert!(read("").unwrap().copying(20_000).unwrap().is_none());
+    insta::assert_snapshot!(out);
+}
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -158,7 +158,7 @@
                 if told.whole || !back {
                     let news = if told.whole { News::Whole } else { News::Changes };
                     if told.whole || !told.entries.is_empty() {
-                        exchange.list(news, &told.entries);
+                        exchange.list(news, told.revision, &told.entries);
                     }
                     held = Some(told.revision);
                 } else {
@@ -173,7 +173,7 @@
                     let why = failed.err().map_or("not a list".to_owned(), |e| e.to_string());
                     slog::warn!(log, "discovery failed"; "why" => why);
                 }
-                exchange.list(News::Failed, &[]);
+                exchange.list(News::Failed, 0, &[]);
                 sleep(exchange.connect_timeout()).await;
             }
         }
--- a/gateway/src/fleet.rs
+++ b/gateway/src/fleet.rs
@@ -111,8 +111,9 @@
     marks().max(1)
 }
 
-/// Starts this process as a member. Without a folder, or with one that fails, its memory ends with it.
-pub fn start(begins: Begins, name: &str, log: &slog::Logger) -> Rc<leverpoint_link::Node> {
+/// Starts this process as a member, and says whether its memory is a new one. Without a folder, or with one that fails, its
+/// memory ends with it.
+pub fn start(begins: Begins, name: &str, log: &slog::Logger) -> (Rc<leverpoint_link::Node>, bool) {
     let Begins { membership, listener } = begins;
     let mut marks = marks();
     let folder = membership.disk.as_ref().and_then(|path| match Folder::open(path) {
@@ -122,13 +123,14 @@
             None
         }
     });
-    let (mut kept, mut keeper) = (Kept::default(), None);
+    let (mut kept, mut keeper, mut new) = (Kept::default(), None, true);
     let life = unix().as_millis() as u64;
     let fresh = |marks: &mut dyn FnMut() -> u64| Incarnation { life, memory: memory(marks) };
     kept.incarnation = fresh(&mut *marks);
     if let Some(mut folder) = folder {
         if let Some(before) = read(&mut folder, log) {
             let Incarnation { life: last, memory } = before.incarnation;
+            new = false;
             kept = Kept { incarnation: Incarnation { life: life.max(last + 1), memory }, ..before };
         }
         // Before anybody hears of this life, so that no later one takes it again.
@@ -141,7 +143,7 @@
             }
             Err(e) => {
                 slog::error!(log, "member: nothing is kept"; "why" => e.to_string());
-                kept = Kept { incarnation: fresh(&mut *marks), ..Kept::default() };
+                (kept, new) = (Kept { incarnation: fresh(&mut *marks), ..Kept::default() }, true);
             }
         }
     }
@@ -170,7 +172,7 @@
         keeper,
         says: Box::new(move |event| says(&to, event)),
     };
-    leverpoint_link::Node::start(start, listener)
+    (leverpoint_link::Node::start(start, listener), new)
 }
 
 fn says(log: &slog::Logger, event: &Event) {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! them together. It stands on `leverpoint-ground`, so the daemon and a simulator run the same code.
 
 mod clients;
+pub mod copied;
 pub mod discovery;
 pub mod fleet;
 pub mod kept;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -123,6 +123,7 @@
     let operator = read_operator(operator)?;
     serve::caps(&node, &operator)?;
     fleet::membership(&node, &operator)?;
+    serve::copying(&node, &operator)?;
     Ok((node, operator))
 }
 
@@ -146,6 +147,9 @@
             writeln!(out, "member of {} at {}, zone {}, machine {}", m.fleet, m.address, m.zone, m.machine);
         let _ = writeln!(out, "{:?}, {} connections", m.terms, m.connections);
     }
+    if let Some(copying) = serve::copying(node, operator)? {
+        let _ = writeln!(out, "{copying:?}");
+    }
     Ok(out)
 }
 
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -6,15 +6,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use leverpoint::interface::News;
+use leverpoint::interface::{Effects, GroupFacts, News};
 use leverpoint_exchange::BASE;
 use leverpoint_exchange::counters::{Counters, add};
 use leverpoint_exchange::descriptors::{Descriptors, Leaving};
 use leverpoint_exchange::exchange::Exchange;
 use leverpoint_exchange::peers::Peers;
 use leverpoint_facts::Fault;
+use leverpoint_facts::copies::Copying;
 use leverpoint_facts::node::{self, Node};
 use leverpoint_facts::operator::{self, Operator};
+use leverpoint_facts::settings::span;
 use leverpoint_ground::{Listener, Stream, now, since, sleep, spawn, timeout, unix};
 use leverpoint_pace::Caps;
 use leverpoint_pace::caps::Limits;
@@ -22,6 +24,7 @@
 use tokio::sync::Notify;
 
 use crate::clients;
+use crate::copied::{self, Holders};
 use crate::discovery::{self, Whereabouts};
 use crate::fleet;
 use crate::kept;
@@ -31,6 +34,9 @@
 /// After SIGTERM new connections arrive for 0.4 s at most, and a command counts as taken in time up to 0.7 s.
 const TAKES_ON: Duration = Duration::from_millis(550);
 
+/// What is said last to other members is out within this time.
+const SAYS: Duration = Duration::from_millis(20);
+
 pub struct Gateway {
     node: Node,
     operator: RefCell<Operator>,
@@ -41,6 +47,7 @@
     agent: Rc<Whereabouts>,
     kept: Option<Rc<Writer>>,
     pub member: Option<Rc<leverpoint_link::Node>>,
+    pub copied: Option<Rc<Holders>>,
     stop: Rc<Notify>,
     stopped: Rc<Notify>,
     log: slog::Logger,
@@ -58,6 +65,16 @@
     operator.caps(Caps::from_limits(&limits), LONGEST)
 }
 
+/// How what this gateway holds for others is copied, as the operator's file and the settings come to.
+pub fn copying(node: &Node, operator: &Operator) -> Result<Option<Copying>, Fault> {
+    let groups = &node.opened.facts.groups;
+    let window = |group: &GroupFacts| match group.effect {
+        Effects::Keyed { window, .. } => window,
+        _ => 0,
+    };
+    operator.copying(groups.iter().map(|group| group.timeout.max(window(group))).max().unwrap_or(0))
+}
+
 impl Gateway {
     /// Serves what comes in from here on.
     pub fn start(
@@ -68,6 +85,9 @@
         log: slog::Logger,
     ) -> Result<Self, Fault> {
         let caps = caps(&node, &operator)?;
+        let copying = copying(&node, &operator)?.filter(|_| member.is_some());
+        // Where its fleet copies roles this one says what it hears of them.
+        node.opened.facts.allowed.peers |= copying.is_some();
         let opened = &node.opened;
         let counters = Rc::new(Counters::new(&opened.groups));
         let facts = &opened.facts;
@@ -83,10 +103,18 @@
         let exchange = Exchange::new(opened.clone(), counters.clone(), follow.clone(), log.clone());
         let kept = follow.and_then(|follow| kept::start(&follow, &exchange, &log));
         exchange.set_carrier(servers.clone());
-        if let Some(known) = node.known.take().and_then(|known| discovery::told(known.get().as_bytes())) {
-            exchange.list(News::Remembered, &known.entries);
+        let known = node.known.take().and_then(|known| discovery::told(known.get().as_bytes()));
+        if let Some(known) = &known {
+            exchange.list(News::Remembered, known.revision, &known.entries);
+        }
+        let disk = member.as_ref().and_then(|begins| begins.membership.disk.clone());
+        let (member, fresh) = member.map(|begins| fleet::start(begins, &node.name, &log)).unzip();
+        let copied = copying.zip(member.as_ref()).map(|(copying, member)| {
+            copied::start(member, &copying, disk.as_deref(), fresh.unwrap_or(true), &log)
+        });
+        if let Some(holders) = &copied {
+            exchange.set_copied(holders.clone());
         }
-        let member = member.map(|begins| fleet::start(begins, &node.name, &log));
         slog::info!(log, "serving"; "name" => &node.name, "listen" => node.listen.to_string());
         spawn(exchange.clone().keep_time());
         spawn(servers.tidy());
@@ -102,7 +130,13 @@
             exchange: exchange.clone(),
         };
         let (asked, told, to) = (stop.clone(), stopped.clone(), log.clone());
+        let holders = copied.clone().zip(copying.map(|copying| span(copying.starts)));
         spawn(async move {
+            if let Some((holders, within)) = holders {
+                let (entries, revision) =
+                    known.map_or((Vec::new(), 0), |known| (known.entries, known.revision));
+                holders.recover(&door.exchange, &entries, revision, within, &to).await;
+            }
             door.keep(asked, to).await;
             told.notify_one();
         });
@@ -117,6 +151,7 @@
             agent,
             kept,
             member,
+            copied,
             stop,
             stopped,
             log,
@@ -134,6 +169,9 @@
         if let Some(member) = &self.member {
             slog::info!(self.log, "member"; "all" => member.line());
         }
+        if let Some(copied) = &self.copied {
+            slog::info!(self.log, "copies"; "all" => copied.copies.line());
+        }
     }
 
     /// Takes on what still comes for a moment, then ends each connection once nothing of it is open.
@@ -153,6 +191,11 @@
         }
         slog::info!(self.log, "counters"; "all" => self.counters.line());
         slog::info!(self.log, "peers"; "all" => self.peers.line());
+        if let Some(copied) = &self.copied {
+            // Nothing of it is open any more.
+            copied.copies.leave();
+            sleep(SAYS).await;
+        }
         if let Some(kept) = &self.kept {
             // All that was answered has been handed over by now.
             kept.close(unix().as_micros() as i64 / 100);
@@ -186,8 +229,10 @@
     fn reread_operator(&self) {
         let mut held = self.operator.borrow_mut();
         let Some(file) = held.file() else { return };
-        let again = operator::from_file(file)
-            .and_then(|again| Ok((caps(&self.node, &again)?, fleet::membership(&self.node, &again)?, again)));
+        let again = operator::from_file(file).and_then(|again| {
+            copying(&self.node, &again)?;
+            Ok((caps(&self.node, &again)?, fleet::membership(&self.node, &again)?, again))
+        });
         match again {
             Ok((caps, membership, again)) => {
                 let changed = held.changed(&again);
@@ -201,7 +246,8 @@
                     "needs_restart_for_open_connections" => waiting.join(" "));
                 let at_once = ["members.keys", "members.seeds", "members.reach"];
                 let later = |key: &&String| {
-                    key.starts_with("members") && !at_once.iter().any(|now| key.starts_with(now))
+                    key.starts_with("copies")
+                        || key.starts_with("members") && !at_once.iter().any(|now| key.starts_with(now))
                 };
                 let later: Vec<_> = changed.iter().filter(later).map(String::as_str).collect();
                 if !later.is_empty() {
--- a/gateway/src/statement.rs
+++ b/gateway/src/statement.rs
@@ -120,7 +120,7 @@
         customer: (!customer.is_empty()).then_some(customer),
         set: set_number,
         wait: number("d", wait)?,
-        keyed: !mark.is_empty(),
+        mark,
         repeat: repeat == "1",
         after: match after {
             "" => None,
--- /dev/null
+++ b/gateway/tests/copies.rs
@@ -0,0 +1,363 @@
+//! Five real processes that copy what they hold: machines burn right after their answers, holders are cut off, stopped and
+//! replaced, and what was promised is still there; what was not is owed as if it were now.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use leverpoint_emulator::set::Build as Machines;
+use leverpoint_stands::member::{Member, PLAIN, Set, serving};
+use leverpoint_stands::relay::Trouble;
+use leverpoint_stands::stage::{Build, Stage};
+use leverpoint_stands::wire::{LONG, http, list, target, unix_ms};
+
+const SETTINGS: &str = r#"{"balancers": 1, "me": 0, "tickMs": 5.0, "zone": 0, "zones": ["a"], "discovery": "pushed",
+    "contract": {"answerSlackMs": 20.0, "coldMs": 9000.0, "fallMs": 1500.0, "fallMultiple": 2.5, "startCapacity": 0.2,
+     "stopSendingWithinMs": 500.0},
+    "familyInfo": {"guards": "reject", "listRole": "delayed", "oldestDataMs": [0.0, 0.0],
+     "readLevel": ["own_writes", "update"], "stamps": true, "tokens": "router"},
+    "grades": [
+     {"name": "own", "aimMs": 3000.0, "deadlineMs": 4000.0, "semantics": "pure", "worth": 2.0},
+     {"name": "report", "aimMs": 3000.0, "deadlineMs": 4000.0, "semantics": "token", "group": "cell",
+      "keyTtlMs": 2000.0, "worth": 3.0}],
+    "policyLimits": {"sendCap": 6, "retryAfter": true, "maxRetryAfterMs": 1000.0, "connectTimeoutMs": 2000.0,
+     "idleCloseMs": 15000.0},
+    "tenants": [{"name": "acme", "share": 1.0, "quotaPerS": 1000.0}]}"#;
+
+const CUT: Trouble =
+    Trouble { cut: true, lose: 0.0, double: 0.0, reorder: 0.0, spoil: 0.0, hold: Duration::ZERO };
+
+struct Fleet {
+    stage: Stage,
+    set: Arc<Set>,
+    members: Vec<Member>,
+    ids: usize,
+}
+
+/// Five that copy, in front of a set whose replicas are so far behind that a read of a write just now misses at them.
+fn five(copies: usize) -> Fleet {
+    let (set, members, known) = serving(Machines { lag: 1_000, ..PLAIN }, 3, Duration::from_millis(1));
+    let build = Build {
+        processes: 5,
+        founders: 3,
+        beat_ms: 100,
+        disk: true,
+        zones: 2,
+        members: true,
+        relays: true,
+        settings: SETTINGS.into(),
+        known,
+        more: format!(
+            "sessions {{\n  follow = true\n  number = \"8c1f30d27a5be964\"\n}}\n\
+             copies {{\n  on = true\n  copies = {copies}\n  lease = \"1s\"\n  waits = \"200ms\"\n}}\n"
+        ),
+        seed: 11,
+    };
+    let mut stage = Stage::new(Path::new(env!("CARGO_BIN_EXE_leverpoint")), build);
+    stage.start_all();
+    stage.meet(&[0, 1, 2, 3, 4], 3);
+    (0..5).for_each(|p| stage.settles(p));
+    Fleet { stage, set, members, ids: 0 }
+}
+
+impl Fleet {
+    fn id(&mut self) -> String {
+        self.ids += 1;
+        format!("a{}", self.ids)
+    }
+
+    fn ask(&self, p: usize, text: &str) -> String {
+        self.stage.gateway(p).client().ask(text)
+    }
+
+    /// A report of a session; what its client hears.
+    fn write(&mut self, p: usize, session: &str, key: &str, more: &str) -> String {
+        let id = self.id();
+        self.ask(
+            p,
+            &format!(
+                "INSERT INTO records (k, v) VALUES ('64-{session}', '\\x9f') RETURNING v \
+                 /* id={id},c=report,t=acme,d=4000,k={key},cluster=2{more} */"
+            ),
+        )
+    }
+
+    /// As often as it is told to come back, as a client does.
+    fn writes(&mut self, p: usize, session: &str, key: &str) {
+        let began = Instant::now();
+        loop {
+            let heard = self.write(p, session, key, "");
+            if heard.starts_with('T') {
+                return;
+            }
+            assert!(heard.contains("C53300") && began.elapsed() < LONG, "{heard}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// The session looks at its own result, and sees what it has written last.
+    fn sees(&mut self, p: usize, session: &str) {
+        let id = self.id();
+        let text = format!(
+            "SELECT v FROM records WHERE k = '64-{session}' /* id={id},c=own,t=acme,d=4000,cluster=2 */"
+        );
+        let heard = self.ask(p, &text);
+        assert!(heard.starts_with('T'), "{heard}");
+        let row = self.set.take_read(&id).expect("it was read");
+        assert!(
+            row.at >= self.set.wrote(&format!("64-{session}")).expect("it was written"),
+            "{session} at {p}"
+        );
+    }
+
+    fn counted(&mut self, p: usize, name: &str) -> u64 {
+        self.stage.counted_of(p, "copies", name)
+    }
+
+    /// Waits until what a process counts has come to that.
+    fn until(&mut self, p: usize, name: &str, enough: impl Fn(u64) -> bool) {
+        let began = Instant::now();
+        while !enough(self.counted(p, name)) {
+            assert!(began.elapsed() < LONG, "{name} at {p}: {}", self.counted(p, name));
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Waits until no key can have been sent before the fleet began to keep them: until then a repeat is ended at once.
+    fn knows_all_keys(&mut self) {
+        let floor = (0..5).map(|p| self.counted(p, "copies.floor")).max().unwrap_or(0);
+        // Twice a client's patience, and what clocks differ by.
+        let until = u128::from(floor) / 10 + 8_100;
+        std::thread::sleep(Duration::from_millis(until.saturating_sub(unix_ms()) as u64));
+    }
+
+    fn effects(&self) -> (u64, u64) {
+        self.set.effects()
+    }
+}
+
+#[test]
+fn what_was_answered_outlives_the_machine_with_its_disk() {
+    let mut fleet = five(3);
+    fleet.knows_all_keys();
+    for round in 0..3 {
+        let (session, key) = (format!("s{round}"), format!("k{round}"));
+        assert!(fleet.write(round, &session, &key, "").starts_with('T'));
+        // Its client has just heard of it.
+        fleet.stage.burn(round);
+        let (there, other) = ((round + 1) % 5, (round + 2) % 5);
+        let exact = fleet.counted(there, "exact");
+        fleet.sees(there, &session);
+        let shown = String::from_utf8(fleet.stage.runs_words(there, &["copies", "--json"]).stdout).unwrap();
+        assert_eq!(fleet.counted(there, "exact"), exact + 1, "its holders have it: {shown}");
+        // The repeat goes, as the set drops it, and the effect is one.
+        let runs = fleet.effects().1;
+        let heard = fleet.write(other, &session, &key, ",r=1");
+        assert!(heard.starts_with('T'), "{heard}");
+        assert_eq!(fleet.effects(), (0, runs));
+        fleet.stage.start(round);
+        fleet.stage.meet(&[0, 1, 2, 3, 4], 3 + 2 * (round as u64 + 1));
+        (0..5).for_each(|p| fleet.stage.settles(p));
+        // Who has come back empty gives no less.
+        fleet.sees(round, &session);
+    }
+}
+
+#[test]
+fn two_that_burn_at_once_lose_nothing_of_five_copies_and_no_more_than_an_instant_of_three() {
+    for copies in [5, 3] {
+        let mut fleet = five(copies);
+        for n in 0..8 {
+            fleet.writes(n % 5, &format!("s{n}"), &format!("k{n}"));
+        }
+        fleet.stage.burn(0);
+        fleet.stage.burn(3);
+        for n in 0..8 {
+            fleet.sees([1, 2, 4][n % 3], &format!("s{n}"));
+        }
+        if copies == 5 {
+            assert!((1..5).filter(|p| *p != 3).all(|p| fleet.counted(p, "owed") == 0));
+        }
+        // One burns while the others are under repair.
+        fleet.stage.start(0);
+        fleet.stage.start(3);
+        fleet.stage.until(0, "it is taken in", |word| word.admitted);
+        fleet.stage.burn(0);
+        for n in 0..8 {
+            fleet.sees([1, 2, 4][n % 3], &format!("s{n}"));
+        }
+        fleet.stage.start(0);
+        fleet.stage.meet(&[0, 1, 2, 3, 4], 3);
+        (0..5).for_each(|p| fleet.stage.settles(p));
+        for n in 0..8 {
+            fleet.sees(n % 5, &format!("s{n}"));
+        }
+        assert_eq!(fleet.effects(), (0, 8));
+    }
+}
+
+#[test]
+fn one_that_is_cut_off_answers_without_a_promise_once_all_others_miss_it() {
+    let mut fleet = five(3);
+    fleet.writes(0, "s", "k1");
+    fleet.stage.between(&[0], &[1, 2, 3, 4], CUT);
+    // Until the others miss it it sends nothing of a write, and says when to come back.
+    let began = Instant::now();
+    let mut turned = 0;
+    while fleet.counted(0, "unpromised") == 0 {
+        let heard = fleet.write(0, "s", &format!("t{turned}"), "");
+        if !heard.starts_with('T') {
+            assert!(heard.contains("C53300 D"), "{heard}");
+            turned += 1;
+        }
+        assert!(began.elapsed() < LONG);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(turned > 0 && fleet.counted(0, "turned") > 0);
+    // The others know that they don't know: their reads owe the instant.
+    let owed = fleet.counted(2, "owed");
+    fleet.sees(2, "s");
+    assert_eq!(fleet.counted(2, "owed"), owed + 1);
+    fleet.sees(0, "s");
+    // A repeat of what was sent without a promise is ended at once where nobody can know.
+    let runs = fleet.effects().1;
+    assert!(fleet.write(2, "s", &format!("t{turned}"), ",r=1").starts_with("E C"));
+    assert!(fleet.write(0, "s", "k1", ",r=1").starts_with("E C"));
+    assert_eq!(fleet.effects(), (0, runs));
+    fleet.stage.heal();
+    fleet.until(2, "copies.floor", |floor| floor > 0);
+    let began = Instant::now();
+    loop {
+        let exact = fleet.counted(2, "exact");
+        fleet.sees(2, "s");
+        if fleet.counted(2, "exact") > exact {
+            break;
+        }
+        let shown = |p| String::from_utf8(fleet.stage.runs_words(p, &["copies", "--json"]).stdout).unwrap();
+        assert!(began.elapsed() < LONG, "{} {}", shown(0), shown(2));
+    }
+    // One holder alone is not reached from the asker: another is asked beside it.
+    fleet.writes(1, "u", "k2");
+    fleet.stage.between(&[2], &[3], CUT);
+    for n in 0..6 {
+        fleet.writes(2, &format!("v{n}"), &format!("v{n}"));
+        fleet.sees(4, &format!("v{n}"));
+    }
+    fleet.stage.heal();
+    assert_eq!(fleet.effects().0, 0);
+}
+
+#[test]
+fn one_that_stood_still_while_the_layout_changed_gives_nothing_of_the_old_one() {
+    let mut fleet = five(3);
+    fleet.writes(1, "s", "k1");
+    fleet.stage.signal(4, "-STOP");
+    fleet.stage.burn(3);
+    fleet.stage.start(3);
+    for p in [0, 1, 2, 3] {
+        fleet.stage.until(p, "n3 with another memory", |word| word.layout >= 5);
+    }
+    fleet.writes(0, "s", "k2");
+    fleet.sees(2, "s");
+    fleet.stage.signal(4, "-CONT");
+    // At once, with what it had.
+    fleet.sees(4, "s");
+    fleet.stage.until(4, "the newer layout", |word| word.layout >= 5);
+    (0..5).for_each(|p| fleet.stage.settles(p));
+    fleet.sees(4, "s");
+    assert_eq!(fleet.effects(), (0, 2));
+}
+
+#[test]
+fn a_folder_with_a_flipped_bit_is_a_lost_memory_and_an_orderly_end_is_none() {
+    let mut fleet = five(3);
+    for n in 0..6 {
+        fleet.writes(n % 5, &format!("s{n}"), &format!("k{n}"));
+    }
+    fleet.stage.end(2);
+    fleet.stage.start(2);
+    fleet.stage.meet(&[0, 1, 2, 3, 4], 3);
+    fleet.stage.settles(2);
+    let said = fleet.stage.gateway(2).said.borrow().join("\n");
+    assert!(said.contains("copies read back") && said.contains("\"whole\":true"), "{said}");
+    fleet.stage.kill(2);
+    let folder = fleet.stage.folder(2).join("copies");
+    let mut flipped = 0;
+    for file in std::fs::read_dir(&folder).unwrap().map(|entry| entry.unwrap().path()) {
+        let mut bytes = std::fs::read(&file).unwrap();
+        if bytes.len() > 40 {
+            let at = bytes.len() / 2;
+            bytes[at] ^= 4;
+            std::fs::write(&file, bytes).unwrap();
+            flipped += 1;
+        }
+    }
+    assert!(flipped > 0);
+    fleet.stage.start(2);
+    fleet.stage.meet(&[0, 1, 2, 3, 4], 3);
+    let said = fleet.stage.gateway(2).said.borrow().join("\n");
+    assert!(said.contains("a file ends before its time") && said.contains("\"whole\":false"), "{said}");
+    for n in 0..6 {
+        fleet.sees(2, &format!("s{n}"));
+        fleet.sees((n + 1) % 5, &format!("s{n}"));
+    }
+}
+
+#[test]
+fn a_gateway_that_starts_takes_drains_and_primaries_from_holders_before_its_first_command() {
+    let mut fleet = five(3);
+    let (first, second) = (fleet.members[1].address.clone(), fleet.members[2].address.clone());
+    let primary = fleet.members[0].address.clone();
+    let targets = [
+        target("s0", &primary, "up", "read-write"),
+        target("s1", &first, "draining", "read-only"),
+        target("s2", &second, "up", "read-only"),
+    ];
+    // Discovery tells one gateway alone, and is silent to the one that starts.
+    fleet.stage.gateway(1).agent.say.send(http(&list(8, true, &targets))).unwrap();
+    // Its set has another primary than all lists say, and one gateway has heard so.
+    fleet.set.hand_over(2);
+    fleet.writes(1, "s", "k");
+    let began = Instant::now();
+    loop {
+        fleet.stage.kill(4);
+        fleet.stage.start(4);
+        fleet.sees(4, "s");
+        // Said before the first command is taken.
+        let roles = fleet.stage.gateway(4).logged("roles taken on");
+        let drains = fleet.stage.gateway(4).said.borrow().iter().any(|line| {
+            line.contains("drains taken on") && line.contains("\"many\":1") && line.contains("\"revision\":8")
+        });
+        if drains && roles.contains("\"many\":1") {
+            break;
+        }
+        assert!(began.elapsed() < LONG, "{}", fleet.stage.gateway(4).said.borrow().join("\n"));
+    }
+}
+
+#[test]
+fn copies_shows_what_is_held_and_verify_compares_it() {
+    let mut fleet = five(3);
+    for n in 0..10 {
+        fleet.writes(n % 5, &format!("s{n}"), &format!("k{n}"));
+    }
+    let shown = fleet.stage.runs_words(1, &["copies", "--json"]);
+    let shown: serde_json::Value = serde_json::from_slice(&shown.stdout).unwrap();
+    assert!(shown["holds"] == true && shown["whole"] == true && shown["known"] == true, "{shown}");
+    let held = |what: &str| shown[what].as_u64().unwrap();
+    // Three copies of ten at five members.
+    assert!(held("positions") >= 2 && held("keys") >= 2 && held("positions") <= 10, "{shown}");
+    let table = String::from_utf8(fleet.stage.runs_words(1, &["copies"]).stdout).unwrap();
+    assert!(table.contains("held: positions") && table.contains("not accounted for"), "{table}");
+    let began = Instant::now();
+    loop {
+        // What was sent on without waiting may still be on its way.
+        let verified = fleet.stage.runs_words(1, &["copies", "verify"]);
+        let text = String::from_utf8(verified.stdout).unwrap();
+        assert!(text.starts_with("holder") && text.lines().count() == 5, "{text}");
+        if verified.status.success() {
+            break;
+        }
+        assert!(began.elapsed() < LONG, "{text}");
+    }
+}
--- a/gateway/tests/fleet.rs
+++ b/gateway/tests/fleet.rs
@@ -38,6 +38,7 @@
         relays: true,
         settings: SETTINGS.into(),
         known: list(7, true, &[]),
+        more: String::new(),
         seed: 11,
     };
     let mut stage = Stage::new(Path::new(env!("CARGO_BIN_EXE_leverpoint")), build);
@@ -233,6 +234,7 @@
         relays: false,
         settings: SETTINGS.into(),
         known: list(7, true, &[]),
+        more: String::new(),
         seed: 3,
     };
     let mut stage = Stage::new(Path::new(env!("CARGO_BIN_EXE_leverpoint")), build);
--- a/gateway/tests/tables.rs
+++ b/gateway/tests/tables.rs
@@ -81,7 +81,7 @@
         // A new server every half second, a new session and a new id with each command.
         for nth in 0..2000 {
             let changes = [entry(nth, Phase::Ready), entry(nth.wrapping_sub(1), Phase::Gone)];
-            exchange.list(News::Changes, &changes[..1 + usize::from(nth > 0)]);
+            exchange.list(News::Changes, 0, &changes[..1 + usize::from(nth > 0)]);
             for part in 0..2 {
                 let text = format!(
                     "INSERT INTO records (k, v) VALUES ('s{nth}-{part}', '\\x9f') RETURNING v /* id={nth}-{part},c=order,d=900,cluster=2 */"
@@ -96,7 +96,7 @@
         // Those of the last half minute at most, and the one that is there.
         assert!(most < 70, "{most} servers at once");
         sleep(Duration::from_secs(40)).await;
-        exchange.list(News::Changes, &[]);
+        exchange.list(News::Changes, 0, &[]);
         let held = exchange.tables();
         assert!(held[1].1 < 70 && answers.let_go.borrow().len() < 70, "{held:?}");
         assert_eq!((held[0], held[4]), (("servers", 1), ("open_ids", 0)), "{held:?}");
--- a/link/src/copies.rs
+++ b/link/src/copies.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use leverpoint_copies::{
-    Came, Claim, Copier, Do, Done, Envelope, Event, Kind, Look, Me, Meta, Record, Tenths, Terms, Verdict,
+    Came, Claim, Copier, Do, Done, Envelope, Event, Kind, Left, Look, Me, Meta, Record, Tenths, Terms,
+    Verdict,
 };
 use leverpoint_ground::{Instant, now, since, sleep_until, spawn, unix};
 use leverpoint_members::Stand;
@@ -57,7 +58,7 @@
     pub fn start(
         node: &Rc<Node>,
         terms: Terms,
-        kept: Option<(Meta, Vec<Record>)>,
+        kept: Option<Left>,
         keeper: Option<Box<dyn CopyKeeper>>,
         says: Box<dyn Fn(&Event)>,
     ) -> Rc<Copies> {
@@ -143,9 +144,15 @@
 
     /// A write comes: `then` is told whether it may be sent, at once or within the terms' wait, and the
     /// ticket that ends it.
-    pub fn write(self: &Rc<Self>, session: u64, claim: Option<Claim>, then: Box<dyn FnOnce(u64, Go)>) -> u64 {
+    pub fn write(
+        self: &Rc<Self>,
+        session: u64,
+        claim: Option<Claim>,
+        most: Tenths,
+        then: Box<dyn FnOnce(u64, Go)>,
+    ) -> u64 {
         let ticket = self.ticket(Some(Waits::Write(then)));
-        let all = self.copier.borrow_mut().write(self.now(), ticket, session, claim);
+        let all = self.copier.borrow_mut().write(self.now(), ticket, session, claim, most);
         self.does(all);
         ticket
     }
@@ -158,9 +165,9 @@
     }
 
     /// What a session owes, exactly; none: the instant.
-    pub fn read(self: &Rc<Self>, session: u64, then: Box<dyn FnOnce(Option<Tenths>)>) {
+    pub fn read(self: &Rc<Self>, session: u64, most: Tenths, then: Box<dyn FnOnce(Option<Tenths>)>) {
         let ticket = self.ticket(Some(Waits::Read(then)));
-        let all = self.copier.borrow_mut().read(self.now(), ticket, session);
+        let all = self.copier.borrow_mut().read(self.now(), ticket, session, most);
         self.does(all);
     }
 
--- a/rig/src/members.rs
+++ b/rig/src/members.rs
@@ -73,6 +73,7 @@
         relays,
         settings: SETTINGS.into(),
         known,
+        more: String::new(),
         seed,
     }
 }
--- a/sessions/src/book.rs
+++ b/sessions/src/book.rs
@@ -56,6 +56,7 @@
     pub exact: u64,
     pub instant: u64,
     pub carried: u64,
+    pub asked: u64,
     pub refused_tokens: u64,
     pub let_go: u64,
     pub epochs: u64,
@@ -145,7 +146,20 @@
         self.terms.stays.is_some_and(|stays| now - entry.seen >= stays)
     }
 
-    /// A read of a session comes; `carried`: what a token that it carries names, checked.
+    /// Whether a read of the session would owe the instant, by what is known here alone.
+    pub fn wants(&self, session: u64, now: Tenths) -> bool {
+        let entry = self.entry(session);
+        let seen = if self.gap(&entry, now) { Seen::ReadAfterGap } else { Seen::Read };
+        step(entry.known, seen).1 == Owes::Instant
+    }
+
+    /// All that anybody may have written up to now.
+    pub fn instant(&self, now: Tenths) -> Tenths {
+        self.clock.instant(now)
+    }
+
+    /// A read of a session comes; `carried`: what a token that it carries names, checked; `asked`: what the holders of its
+    /// positions say that it owes, asked since it came.
     pub fn reads(
         &mut self,
         session: u64,
@@ -153,6 +167,7 @@
         now: Tenths,
         target_left: Tenths,
         carried: Option<Tenths>,
+        asked: Option<Tenths>,
     ) -> Debt {
         self.sweep(now);
         self.price.came(set, now);
@@ -165,6 +180,7 @@
                 self.counts.refused_tokens += 1;
                 if self.gap(&entry, now) { Seen::ReadAfterGap } else { Seen::Read }
             }
+            None if asked.is_some() => Seen::Asked,
             None if self.gap(&entry, now) => Seen::ReadAfterGap,
             None => Seen::Read,
         };
@@ -176,6 +192,10 @@
             }
             // The token names all that was answered to the session; what passed here may be newer than the token.
             Owes::Token => carried.unwrap_or(instant).max(entry.wrote),
+            Owes::Asked => {
+                entry.floor = asked.unwrap_or(instant).max(entry.wrote);
+                entry.floor
+            }
             Owes::Floor | Owes::Written | Owes::No => entry.wrote.max(entry.floor),
         };
         (entry.known, entry.seen) = (known, now);
@@ -184,6 +204,7 @@
         match owes {
             Owes::Token => self.counts.carried += 1,
             Owes::Instant => self.counts.instant += 1,
+            Owes::Asked => self.counts.asked += 1,
             _ => self.counts.exact += 1,
         }
         // What lies back longer than replicas need is covered by now, or late for reasons that waiting does not mend.
--- a/sessions/src/knowledge.rs
+++ b/sessions/src/knowledge.rs
@@ -32,6 +32,8 @@
     Unclear,
     /// It carries a token that names all it has written.
     Carried,
+    /// A read comes, and the holders of what sessions have written say what it owes.
+    Asked,
     /// Another instance, or what was kept of an epoch before, tells a position of it; there may be later ones.
     Told,
 }
@@ -49,12 +51,14 @@
     Instant,
     /// What its token names, and what passed here.
     Token,
+    /// What the holders say, and what passed here; that becomes its floor.
+    Asked,
 }
 
 use Known::{Doubt, Followed, Nothing, Wrote};
 
 /// State, what is seen, next state, what the read owes.
-const TABLE: [(Known, Seen, Known, Owes); 32] = [
+const TABLE: [(Known, Seen, Known, Owes); 36] = [
     (Nothing, Seen::Read, Followed, Owes::Instant),
     (Nothing, Seen::ReadAfterGap, Followed, Owes::Instant),
     // What it wrote before lies before this write; until that is answered a read beside it owes this instant.
@@ -67,6 +71,11 @@
     (Nothing, Seen::Carried, Nothing, Owes::Token),
     // What is told may be old: it raises what is owed, and is no reason to owe less.
     (Nothing, Seen::Told, Nothing, Owes::No),
+    // Whatever it wrote, wherever, its holders have, or they would not say so.
+    (Nothing, Seen::Asked, Followed, Owes::Asked),
+    (Doubt, Seen::Asked, Followed, Owes::Asked),
+    (Followed, Seen::Asked, Followed, Owes::Asked),
+    (Wrote, Seen::Asked, Followed, Owes::Asked),
     // Its client was told nothing of the write in doubt, but may have seen it elsewhere: one instant settles it.
     (Doubt, Seen::Read, Followed, Owes::Instant),
     (Doubt, Seen::ReadAfterGap, Followed, Owes::Instant),
--- a/sessions/tests/sessions.rs
+++ b/sessions/tests/sessions.rs
@@ -41,14 +41,15 @@
     let mut out = String::new();
     for (ms, what) in steps {
         let now = BEGAN + ms * MS;
-        let read = |book: &mut Book, carried| {
-            let debt = book.reads(5, 0, now, 4_000, carried);
+        let asks = |book: &mut Book, carried, asked| {
+            let debt = book.reads(5, 0, now, 4_000, carried, asked);
             let of = (debt.token - BEGAN) as f64 / 10.0;
             format!(
                 "owes all up to {of} ms, {}",
                 if debt.exact { "exactly" } else { "for want of knowledge" }
             )
         };
+        let read = |book: &mut Book, carried| asks(book, carried, None);
         let said = match *what {
             "read" => read(&mut book, None),
             "read with a token of 40 ms" => read(&mut book, Some(BEGAN + 40 * MS)),
@@ -65,6 +66,7 @@
                 book.unclear(5, now);
                 String::new()
             }
+            "read, its holders say 40 ms" => asks(&mut book, None, Some(BEGAN + 40 * MS)),
             "told 30 ms" => {
                 book.told(&Record { session: 5, position: BEGAN + 30 * MS });
                 String::new()
@@ -109,6 +111,16 @@
         anywhere,
         &[(100, "read with a token of 40 ms"), (110, "read with a token from the future"), (120, "read")],
     );
+    let asked = [
+        (100, "read, its holders say 40 ms"),
+        (110, "read"),
+        (120, "write"),
+        (130, "answered"),
+        (140, "read, its holders say 40 ms"),
+        (150, "unclear"),
+        (160, "read, its holders say 40 ms"),
+    ];
+    play("its holders are asked", anywhere, &asked);
     play(
         "carries less than passed here",
         never_moves,
@@ -183,7 +195,7 @@
     }
     assert!(book.sessions() <= 64 && book.counts.let_go > 1_900);
     for n in 1..2_000u64 {
-        let debt = book.reads(n << 24, 0, wrote(2_000), 4_000, None);
+        let debt = book.reads(n << 24, 0, wrote(2_000), 4_000, None, None);
         assert!(debt.token >= wrote(n) && debt.exact, "{n}: {debt:?}");
     }
 }
--- a/sim/src/copies.rs
+++ b/sim/src/copies.rs
@@ -11,7 +11,9 @@
 use fastrand::Rng;
 use leverpoint_copies::core::Event;
 use leverpoint_copies::shelf::Limits;
-use leverpoint_copies::{Came, Claim, Copies as Many, Drops, Kind, Meta, Record, Tenths, Terms, Verdict};
+use leverpoint_copies::{
+    Came, Claim, Copies as Many, Drops, Kind, Left, Meta, Record, Tenths, Terms, Verdict,
+};
 use leverpoint_ground::{sleep, spawn};
 use leverpoint_link::{Copies, CopyKeeper, Go, Node};
 use serde::Deserialize;
@@ -183,7 +185,7 @@
     lasts: bool,
 ) {
     let kept = shelf.borrow().clone();
-    let kept = lasts.then(|| (kept.meta, kept.records.into_values().collect()));
+    let kept = lasts.then(|| Left { meta: Some(kept.meta), records: kept.records.into_values().collect() });
     let (tell, line) = mpsc::unbounded_channel();
     spawn(keep(sim.clone(), shelf.clone(), line));
     let says = sim.clone();
@@ -237,6 +239,7 @@
     let (tell, told) = oneshot::channel();
     copies.read(
         session,
+        Tenths::MAX,
         Box::new(move |at| {
             let _ = tell.send(at);
         }),
@@ -267,6 +270,7 @@
     let ticket = copies.write(
         session,
         claim,
+        Tenths::MAX,
         Box::new(move |_, go| {
             let _ = tell.send(go);
         }),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -359,6 +359,7 @@
             over_share,
             luck: self.rng.f64(),
             repeat: a.repeat,
+            doubt: a.first,
             ..Command::default()
         };
         self.set(a.set);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -182,6 +182,8 @@
     pub hold_till: Tenths,
     /// The client says that this is a repeat.
     pub repeat: bool,
+    /// A keyed command that another gateway has sent then, and that may have run there.
+    pub first: Option<Tenths>,
 }
 
 /// How a dispatch ended.
--- a/stands/src/stage.rs
+++ b/stands/src/stage.rs
@@ -35,6 +35,8 @@
     /// The configuration's settings, and the list of servers that is known.
     pub settings: String,
     pub known: String,
+    /// What else the operator's file of each says.
+    pub more: String,
     pub seed: u64,
 }
 
@@ -188,7 +190,7 @@
             founders.join(", "),
             self.keys[p].split(' ').map(|key| format!("\"{key}\"")).collect::<Vec<_>>().join(", "),
             if self.build.disk { disk } else { String::new() }
-        )
+        ) + &self.build.more
     }
 
     /// Writes the operator's file anew, as its keys and ways are now.
@@ -339,13 +341,18 @@
 
     /// A figure of the process's own counters as a member.
     pub fn counted(&mut self, p: usize, name: &str) -> u64 {
+        self.counted_of(p, "member", name)
+    }
+
+    /// A figure of what it counts under that head.
+    pub fn counted_of(&mut self, p: usize, head: &str, name: &str) -> u64 {
         self.signal(p, "-USR1");
         let gateway = self.gateway(p);
         let mut lines = Vec::new();
         let figure = loop {
             let line = gateway.log.recv_timeout(LONG).expect("its counters");
             let value = parsed(&line);
-            if value["msg"] == "member" && value["all"].is_string() {
+            if value["msg"] == head && value["all"].is_string() {
                 let all = value["all"].as_str().unwrap_or_default().to_owned();
                 break gateway::counted(&all, name).and_then(|n| n.parse().ok()).unwrap_or(0);
             }
@@ -360,6 +367,30 @@
         let file = self.places[p].file.display().to_string();
         Command::new(&self.program).arg("members").args(["--operator", &file]).args(words).output().unwrap()
     }
+
+    /// Any of its sub-commands that ask a running member.
+    pub fn runs_words(&self, p: usize, words: &[&str]) -> Output {
+        let file = self.places[p].file.display().to_string();
+        Command::new(&self.program).args(words).args(["--operator", &file]).output().unwrap()
+    }
+
+    /// Until this process's copies go by a layout that counts alone, and all its holders promise what they answer.
+    pub fn settles(&mut self, p: usize) {
+        let began = Instant::now();
+        loop {
+            let names = ["copies.layout", "copies.base", "copies.whole", "copies.unseen"];
+            let [version, base, whole, unseen] = names.map(|n| self.counted_of(p, "copies", n));
+            if version > 0 && base == version && whole >= version && unseen == 0 {
+                return;
+            }
+            assert!(
+                began.elapsed() < LONG,
+                "{} has layouts {base} to {version}, whole {whole}, unseen {unseen}",
+                self.name(p)
+            );
+            std::thread::sleep(std::time::Duration::from_millis(20));
+        }
+    }
 }
 
 fn parsed(line: &str) -> Value {
--- a/store/src/frame.rs
+++ b/store/src/frame.rs
@@ -15,11 +15,18 @@
     End { count: u64 },
     /// The process ended in order: nothing came after.
     Closed { at: i64 },
+    /// A copy of what another holds, as it is now; of what time it speaks last.
+    Copy { key: u64, at: i64, value: Vec<u8> },
 }
 
 /// A body's longest.
 pub const LONGEST: usize = 255;
+/// A copy's longest.
+pub const LONGEST_COPY: usize = 1 << 16;
 const HEAD: usize = 2;
+/// The kind of a copy, whose length takes four bytes.
+const COPY: u8 = 6;
+const LONG_HEAD: usize = 5;
 const CODE: usize = 4;
 
 /// What stands at the begin of some bytes.
@@ -44,6 +51,7 @@
         Item::Until { at } => (3, at.to_be_bytes().to_vec()),
         Item::End { count } => (4, count.to_be_bytes().to_vec()),
         Item::Closed { at } => (5, at.to_be_bytes().to_vec()),
+        Item::Copy { key, at, value } => (COPY, [&key.to_be_bytes()[..], &at.to_be_bytes(), value].concat()),
     }
 }
 
@@ -58,7 +66,13 @@
 pub fn put(out: &mut Vec<u8>, file: u64, item: &Item) {
     let (kind, body) = body(item);
     let begins = out.len();
-    out.extend([kind, body.len() as u8]);
+    match kind {
+        COPY => {
+            out.push(kind);
+            out.extend((body.len() as u32).to_be_bytes());
+        }
+        _ => out.extend([kind, body.len() as u8]),
+    }
     out.extend(&body);
     let code = code(file, &out[begins..]);
     out.extend(code);
@@ -77,6 +91,7 @@
         (3, 8) => Item::Until { at: signed(0)? },
         (4, 8) => Item::End { count: number(0)? },
         (5, 8) => Item::Closed { at: signed(0)? },
+        (COPY, 16..) => Item::Copy { key: number(0)?, at: signed(8)?, value: body[16..].to_vec() },
         _ => return None,
     })
 }
@@ -85,12 +100,21 @@
     if bytes.is_empty() {
         return Parsed::Nothing;
     }
-    let length = HEAD + bytes.get(1).map_or(0, |length| usize::from(*length));
+    let (begins, body) = if bytes[0] == COPY {
+        let said = bytes.get(1..LONG_HEAD).and_then(|said| said.try_into().ok());
+        (LONG_HEAD, said.map_or(usize::MAX, |said| u32::from_be_bytes(said) as usize))
+    } else {
+        (HEAD, bytes.get(1).map_or(0, |length| usize::from(*length)))
+    };
+    if body > LONGEST_COPY {
+        return Parsed::Torn;
+    }
+    let length = begins + body;
     let (Some(head), Some(said)) = (bytes.get(..length), bytes.get(length..length + CODE)) else {
         return Parsed::Torn;
     };
     if code(file, head) != said {
         return Parsed::Torn;
     }
-    item(head[0], &head[HEAD..]).map_or(Parsed::Torn, |item| Parsed::Item(item, length + CODE))
+    item(head[0], &head[begins..]).map_or(Parsed::Torn, |item| Parsed::Item(item, length + CODE))
 }
--- a/store/src/log.rs
+++ b/store/src/log.rs
@@ -41,6 +41,8 @@
     pub positions: BTreeMap<u64, i64>,
     /// By set: who was the primary, since when.
     pub roles: BTreeMap<u16, (String, i64)>,
+    /// Copies by their keys, each with the time that it speaks of last.
+    pub copies: BTreeMap<u64, (i64, Vec<u8>)>,
     /// All that was answered up to then is here; 0 where that is not known.
     pub until: i64,
     /// It ended in order, and nothing is missing.
@@ -55,6 +57,8 @@
     /// The file that is appended to, its number and length.
     number: u64,
     length: usize,
+    /// How long the last snapshot is.
+    snapshot: usize,
     /// Something could not be written: what is on the disk ends before it, and this store writes no more.
     broken: bool,
 }
@@ -89,6 +93,7 @@
             }
             Item::Until { at } => self.until = self.until.max(at),
             Item::Closed { at } => (self.until, self.closed) = (self.until.max(at), true),
+            Item::Copy { key, at, value } => drop(self.copies.insert(key, (at, value))),
             Item::End { .. } => {}
         }
     }
@@ -121,7 +126,9 @@
         let roles = self.roles.iter();
         let roles =
             roles.map(|(set, (server, at))| Item::Role { set: *set, server: server.clone(), at: *at });
-        positions.chain(roles).chain([Item::Until { at: self.until }])
+        let copies = self.copies.iter();
+        let copies = copies.map(|(key, (at, value))| Item::Copy { key: *key, at: *at, value: value.clone() });
+        positions.chain(roles).chain(copies).chain([Item::Until { at: self.until }])
     }
 }
 
@@ -179,7 +186,7 @@
         }
         let last = logs.last().copied().max(snapshots.last().copied()).unwrap_or(0);
         let (number, length) = (last + 1, 0);
-        let mut store = Store { disk, limits, held, number, length, broken: false };
+        let mut store = Store { disk, limits, held, number, length, snapshot: 0, broken: false };
         let recovered = store.held.clone();
         store.held.torn.clear();
         store.held.closed = false;
@@ -214,7 +221,8 @@
             // What has gone every session may have written.
             self.held.take(Item::Position { session: ALL, position: least });
         }
-        if self.length > self.limits.segment {
+        // What is written anew is no more than what was written since.
+        if self.length > self.limits.segment.max(self.snapshot) {
             self.compact()?;
         }
         Ok(())
@@ -226,6 +234,9 @@
         let newest = self.held.positions.values().copied().max().unwrap_or(0);
         let keeps_from = newest - self.limits.keeps;
         self.held.positions.retain(|_, position| *position >= keeps_from);
+        let spoken = self.held.copies.values().map(|(at, _)| *at).filter(|at| *at < i64::MAX);
+        let oldest = spoken.max().unwrap_or(0) - self.limits.keeps;
+        self.held.copies.retain(|_, (at, _)| *at >= oldest);
         let (mut bytes, mut count) = (Vec::new(), 0);
         for item in self.held.items(keeps_from) {
             put(&mut bytes, number, &item);
@@ -244,7 +255,7 @@
             self.broken = true;
             return made;
         }
-        (self.number, self.length) = (number, 0);
+        (self.number, self.length, self.snapshot) = (number, 0, bytes.len());
         for old in self.disk.list()? {
             let before = numbered(&old, LOG).or_else(|| numbered(&old, SNAPSHOT)).is_some_and(|n| n < number);
             if before {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -121,6 +121,7 @@
             token: self.token,
             hold_till: self.hold_till,
             repeat: self.repeat,
+            first: None,
         };
         self.take(&format!("command {cmd} of group {group}"), &Input::Arrived(arrival));
     }
