--- a/copies/src/asking.rs
+++ b/copies/src/asking.rs
@@ -105,6 +105,8 @@
     open: u32,
     at: Tenths,
     touched: Tenths,
+    /// Since when none of its writes could be promised; 0: the last one was.
+    turned: Tenths,
 }
 
 /// Sessions whose writes are remembered so.
@@ -115,6 +117,8 @@
 /// Messages out to one holder at most, and records that wait for one: beyond them the promise gives way.
 const OUT: usize = 64;
 const QUEUE: usize = 4_096;
+/// What can't be promised for longer than this part of a lease is no passing trouble.
+const PASSES: Tenths = 4;
 /// A holder that refuses is tried again so often in a lease.
 const TRIES_AGAIN: Tenths = 8;
 /// Parked for one holder at most; what is dropped is mended by comparing.
@@ -166,7 +170,7 @@
     ) {
         self.writes += 1;
         let begun = self.writes;
-        let fresh = Ours { first: begun, last: begun, open: 0, at: 0, touched: now };
+        let fresh = Ours { first: begun, last: begun, open: 0, at: 0, touched: now, turned: 0 };
         let ours = self.ours.entry(session).or_insert(fresh);
         (ours.last, ours.open, ours.touched) = (begun, ours.open + 1, now);
         let whose = (core.life(), ours.first);
@@ -377,6 +381,9 @@
         core.counts.promises += 1;
         if let Some(going) = self.going.get_mut(&write.ticket) {
             going.how = How::Promised;
+            if let Some(ours) = self.ours.get_mut(&going.session) {
+                ours.turned = 0;
+            }
         }
         let verdict = write.claim.map_or(Verdict::New, |claim| {
             let lost = (write.lost, core.terms.limits.key_life);
@@ -408,8 +415,17 @@
             wait = wait.max(core.leases.length() / 4);
         }
         if wait > 0 {
-            // From here on it says itself that it may answer without promises, so that all miss it within a lease.
-            core.retreats = now + 2 * core.leases.over();
+            let session = self.going.get(&write.ticket).map(|going| going.session);
+            let since = session.and_then(|session| self.ours.get_mut(&session)).map_or(now, |ours| {
+                ours.turned = if ours.turned == 0 { now } else { ours.turned };
+                ours.turned
+            });
+            if now - since >= core.leases.length() / PASSES {
+                // No passing trouble. From here on it says itself that it may answer without promises, so that all miss it
+                // within a lease.
+                core.retreats = now + 2 * core.leases.over();
+            }
+            let wait = if core.retreats > now { wait } else { wait.min(2 * core.terms.waits) };
             core.counts.turned += 1;
             core.out.push(Do::Done(Done::Turned { ticket: write.ticket, wait }));
             return self.ends(core, now, write.ticket, Came::Never);
--- a/copies/src/copier.rs
+++ b/copies/src/copier.rs
@@ -3,7 +3,6 @@
 //! No I/O and no clock: each call brings the time, which never goes back and is near the time of the day on all machines.
 
 use leverpoint_members::layout::Layout;
-use leverpoint_plant::plant;
 use serde::{Deserialize, Serialize};
 
 use crate::Tenths;
@@ -315,7 +314,7 @@
     fn renew(&mut self, now: Tenths, name: &str) {
         let core = &mut self.core;
         let number = core.number();
-        let alone = (core.alone_open > 0 || now < core.retreats) && !plant("alone-unsaid");
+        let alone = core.alone_open > 0 || now < core.retreats;
         let echo = core.leases.asks(now, name, number, alone);
         let (alone, whole) = (core.alone_until, core.whole);
         core.send(name, number, Body::Renew { echo, alone, whole });
--- a/copies/src/mending.rs
+++ b/copies/src/mending.rs
@@ -50,8 +50,9 @@
 const PATIENCE: Tenths = 20_000;
 /// Buckets whose sums are brought up to date in one tick, and swept for what has lived long enough.
 const A_TICK: usize = 8;
-/// So often there is a tick while anything is to be done.
+/// So often there is a tick while anything is to be mended or looked through, and while nothing is.
 const TICK: Tenths = 100;
+const QUIET: Tenths = 1_000;
 /// A question costs the asked one a look through some buckets even where nothing comes of it: as much as so many records.
 const A_QUESTION: usize = 16;
 
@@ -104,7 +105,8 @@
         if now < self.next_tick {
             return;
         }
-        self.next_tick = now + TICK;
+        let busy = self.job.is_some() || core.shelf.is_stale() || core.whole < core.stack.version();
+        self.next_tick = now + if busy { TICK } else { QUIET };
         core.shelf.sweep(now, A_TICK);
         if core.holds() {
             let Core { shelf, stack, .. } = core;
--- a/copies/src/promise.rs
+++ b/copies/src/promise.rs
@@ -104,14 +104,16 @@
 }
 
 impl Promise {
-    /// To a quorum of the layout's holders first; what to do comes from [`Promise::to_send`].
+    /// To a quorum of the layout's holders and one more first; what to do comes from [`Promise::to_send`].
     pub fn new(holders: Holders, slow: Tenths, over: Tenths) -> Promise {
         Promise::counting(vec![holders], slow, over)
     }
 
-    /// To a quorum of each of these layouts first.
+    /// To a quorum of each of these layouts first, and one more.
     pub fn counting(layouts: Vec<Holders>, slow: Tenths, over: Tenths) -> Promise {
-        let first = |holders: &Holders| holders[..Copies::quorum(holders.len()).min(holders.len())].to_vec();
+        // One more than has to have it: nobody waits for a slow one.
+        let first =
+            |holders: &Holders| holders[..(Copies::quorum(holders.len()) + 1).min(holders.len())].to_vec();
         let sent = layouts.iter().flat_map(first).collect();
         Promise { state: Sent, layouts, have: BTreeSet::new(), refused: BTreeSet::new(), sent, slow, over }
     }
--- a/copies/src/shelf.rs
+++ b/copies/src/shelf.rs
@@ -153,6 +153,7 @@
     /// Looks through so many buckets for what has lived long enough.
     pub fn sweep(&mut self, now: Tenths, buckets: usize) {
         let Limits { keeps, key_life, .. } = self.limits;
+        let key_life = if leverpoint_plant::plant("key-forgotten-early") { key_life / 8 } else { key_life };
         for _ in 0..buckets {
             let at = self.swept % BUCKETS;
             self.swept += 1;
@@ -171,6 +172,11 @@
         }
     }
 
+    /// Whether any sums are out of date.
+    pub fn is_stale(&self) -> bool {
+        !self.stale.is_empty()
+    }
+
     /// Another layout: who holds what has to be looked up anew.
     pub fn sums_are_stale(&mut self, holders: usize) {
         self.sums = vec![vec![0; BUCKETS]; holders];
--- a/gateway/tests/copies.rs
+++ b/gateway/tests/copies.rs
@@ -41,6 +41,7 @@
         processes: 5,
         founders: 3,
         beat_ms: 100,
+        settles_ms: None,
         disk: true,
         zones: 2,
         members: true,
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -1,7 +1,8 @@
-//! Owns the command line of the experiments: `leverpoint-rig run slow`, `sessions`, `price`, `members`.
+//! Owns the command line of the experiments: `leverpoint-rig run slow`, `sessions`, `price`, `members`, `copies`.
 //!
 //! It plays and measures; what a figure is worth is said in docs/. It must never send anything beyond loopback.
 
+mod copies;
 mod honest;
 mod members;
 mod price;
@@ -21,6 +22,7 @@
     Sessions(sessions::Asked),
     Price(sessions::Asked),
     Members(members::Asked),
+    Copies(copies::Asked),
 }
 
 fn words() -> OptionParser<Asked> {
@@ -63,11 +65,33 @@
     let sessions = sessions_words().command("sessions").map(Asked::Sessions);
     let price = sessions_words().command("price").map(Asked::Price);
     let members = members_words().command("members").map(Asked::Members);
-    let run =
-        construct!([slow, sessions, price, members]).to_options().descr("Plays an experiment").command("run");
+    let copies = copies_words().command("copies").map(Asked::Copies);
+    let run = construct!([slow, sessions, price, members, copies])
+        .to_options()
+        .descr("Plays an experiment")
+        .command("run");
     run.to_options().descr("Loads and experiments for leverpoint")
 }
 
+fn copies_words() -> OptionParser<copies::Asked> {
+    let tries = long("tries").help("Machines lost, each right after an answer").argument::<usize>("N");
+    let tries = tries.fallback(5_000);
+    let short = long("short").help("150 tries and short measures").switch();
+    let seed = long("seed").help("For all that is left to chance").argument::<u64>("N").fallback(1);
+    let out = long("out").help("Where tables and charts are written").argument::<PathBuf>("DIR");
+    let out = out.fallback("target/rig".into());
+    let without = long("without").help("Plays with this off: copies").argument::<String>("WHAT");
+    let without = without.guard(|what| what == "copies", "expected copies").map(|_| true).fallback(false);
+    let records = long("records").help("Sessions held while one of five is replaced; 0: none");
+    let records = records.argument::<usize>("N").fallback(100_000);
+    let program = long("program").help("The gateway; else the one beside this program").argument("FILE");
+    let program = program.optional();
+    let all = construct!(copies::Asked { tries, short, seed, out, without, records, program });
+    all.to_options().descr(
+        "Machines are lost with their folders right after answers, and what they held is read elsewhere",
+    )
+}
+
 fn members_words() -> OptionParser<members::Asked> {
     let faults = long("faults")
         .help("Faults, one after the other; 0: the cost by size alone")
@@ -119,6 +143,10 @@
             let kept = line.forks + line.false_gone + line.old_incarnation_believed == 0;
             (serde_json::to_string(&line).unwrap_or_default(), kept)
         }),
+        Asked::Copies(asked) => copies::run(&asked).map(|line| {
+            let kept = line.missing + line.promises_broken == 0 && line.keys_applied_twice == 0;
+            (serde_json::to_string(&line).unwrap_or_default(), kept)
+        }),
         Asked::Price(asked) => price::run(&asked)
             .map(|line| (serde_json::to_string(&line).unwrap_or_default(), line.missing == 0)),
     };
--- a/rig/src/members.rs
+++ b/rig/src/members.rs
@@ -67,6 +67,7 @@
         processes,
         founders: processes.min(3),
         beat_ms,
+        settles_ms: None,
         disk: true,
         zones: 3,
         members,
--- a/sim/scenarios/copies-partition.hcl
+++ b/sim/scenarios/copies-partition.hcl
@@ -1,7 +1,8 @@
 about    = "Members that copy what they hold are cut in halves and one from the other, in one direction or both, while clients go on everywhere"
 members  = [4, 7]
 founders = 3
-seconds  = 25
+seconds  = 20
+lasts    = 12
 dies     = 1
 burns    = 1
 one_way  = 4
--- a/stands/src/stage.rs
+++ b/stands/src/stage.rs
@@ -25,6 +25,8 @@
     /// So many of them agree on the first layout.
     pub founders: usize,
     pub beat_ms: u64,
+    /// How long one is seen before it is proposed; the usual time where it is absent.
+    pub settles_ms: Option<u64>,
     /// Whether they keep what they hold on a disk.
     pub disk: bool,
     /// Processes stand in so many zones in turn.
@@ -179,6 +181,7 @@
         let seeds: Vec<_> = near.iter().map(|at| format!("\"{at}\"")).collect();
         let founders: Vec<_> = (0..self.build.founders).map(|f| format!("\"n{f}\"")).collect();
         let disk = format!("  disk = \"{}\"\n", place.folder.display());
+        let settles = self.build.settles_ms.map_or(String::new(), |ms| format!("  settles = \"{ms}ms\"\n"));
         format!(
             "members {{\n  listen = \"{}\"\n  fleet = \"stage\"\n  beat = \"{}ms\"\n  zone = \"z{}\"\n  seeds = [{}]\n  \
              reach = {{ {} }}\n  founders = [{}]\n  keys = [{}]\n{}}}\n",
@@ -189,7 +192,7 @@
             reach.join(", "),
             founders.join(", "),
             self.keys[p].split(' ').map(|key| format!("\"{key}\"")).collect::<Vec<_>>().join(", "),
-            if self.build.disk { disk } else { String::new() }
+            if self.build.disk { disk } else { String::new() } + &settles
         ) + &self.build.more
     }
 
@@ -255,6 +258,15 @@
         self.places[p].gateway = None;
     }
 
+    /// SIGKILL, and its folder is gone with it; what it had said can still be read.
+    pub fn take(&mut self, p: usize) -> Gateway {
+        let mut gateway = self.places[p].gateway.take().expect("it runs");
+        let _ = gateway.child.kill();
+        let _ = gateway.child.wait();
+        let _ = std::fs::remove_dir_all(&self.places[p].folder);
+        gateway
+    }
+
     /// SIGKILL, and its folder is gone with it.
     pub fn burn(&mut self, p: usize) {
         self.kill(p);
