--- /dev/null
+++ b/copies/benches/plain.rs
@@ -0,0 +1,119 @@
+//! Copies by the layout against the plain way, every record to all members and no layout: bytes between members and memory
+//! of each, from 3 to 50 members.
+
+use std::collections::VecDeque;
+
+use leverpoint_copies::{Came, Claim, Copier, Do, Drops, Envelope, Me, Record, Tenths, Terms};
+use leverpoint_members::layout::{Holder, Layout};
+
+const WRITES: u64 = 4_000;
+const BEGAN: Tenths = 17_000_000_000_000;
+
+/// A whole fleet in one process: what is sent is heard at once, in order.
+struct Fleet {
+    members: Vec<Copier>,
+    line: VecDeque<(usize, Envelope)>,
+    bytes: usize,
+    messages: usize,
+}
+
+impl Fleet {
+    fn new(many: usize) -> Fleet {
+        let holder = |n: usize| Holder {
+            name: format!("n{n}"),
+            memory: n as u64 + 1,
+            machine: format!("m{n}"),
+            zone: format!("z{}", n % 3),
+        };
+        let layout = Layout { version: 1, holders: (0..many).map(holder).collect() };
+        let member = |n: usize| {
+            let me = Me { name: format!("n{n}"), life: 1, memory: n as u64 + 1 };
+            Copier::new(BEGAN, me, Terms::default(), None)
+        };
+        let mut fleet =
+            Fleet { members: (0..many).map(member).collect(), line: VecDeque::new(), bytes: 0, messages: 0 };
+        for n in 0..many {
+            fleet.members[n].takes_part(true);
+            let all = fleet.members[n].layout(BEGAN, &layout);
+            fleet.does(BEGAN, n, all);
+        }
+        for round in 0..8 {
+            fleet.ticks(BEGAN + round * 5_000);
+        }
+        fleet
+    }
+
+    fn does(&mut self, now: Tenths, n: usize, all: Vec<Do>) {
+        for one in all {
+            match one {
+                Do::Send { to, envelope } => {
+                    let bytes = postcard::to_stdvec(&envelope).map_or(0, |bytes| bytes.len());
+                    // Its length, seal and number, as the link puts them around.
+                    (self.bytes, self.messages) = (self.bytes + bytes + 36, self.messages + 1);
+                    let to: usize = to[1..].parse().expect("a name of our own");
+                    self.line.push_back((to, *envelope));
+                }
+                Do::Keep { number, .. } => {
+                    let all = self.members[n].kept(now, number);
+                    self.does(now, n, all);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn runs(&mut self, now: Tenths) {
+        while let Some((to, envelope)) = self.line.pop_front() {
+            let all = self.members[to].heard(now, &envelope);
+            self.does(now, to, all);
+        }
+    }
+
+    fn ticks(&mut self, now: Tenths) {
+        for n in 0..self.members.len() {
+            let all = self.members[n].tick(now);
+            self.does(now, n, all);
+        }
+        self.runs(now);
+    }
+}
+
+fn main() {
+    for many in [3usize, 5, 10, 20, 50] {
+        let mut fleet = Fleet::new(many);
+        let now = BEGAN + 40_000;
+        let quiet = {
+            (fleet.bytes, fleet.messages) = (0, 0);
+            (0..2).for_each(|round| fleet.ticks(now + round * 5_000));
+            fleet.bytes / many
+        };
+        (fleet.bytes, fleet.messages) = (0, 0);
+        for nth in 0..WRITES {
+            let n = nth as usize % many;
+            let claim =
+                Claim { key: nth, number: nth, set: 2, drops: Drops::Set, window: 30_000, repeat: false };
+            let all = fleet.members[n].write(now, nth, nth + 1, Some(claim), 1_000);
+            fleet.does(now, n, all);
+            fleet.runs(now);
+            let all = fleet.members[n].ended(now, nth, Came::Answered(now));
+            fleet.does(now, n, all);
+            fleet.runs(now);
+        }
+        let (bytes, messages) = (fleet.bytes as u64 / WRITES, fleet.messages as f64 / WRITES as f64);
+        let held = |n: usize| fleet.members[n].shown(now);
+        let records: usize = (0..many).map(|n| held(n).positions + held(n).keys).sum();
+        let memory = (0..many).map(|n| held(n).bytes).sum::<usize>() / many;
+        // The plain way: both records to everybody before the write and after it, each answered.
+        let one = (records > 0).then(|| memory * many / records).unwrap_or(size_of::<Record>());
+        let (say, answer) = (2 * 36 + 40 + 40, 36 + 24);
+        let plain_bytes = 2 * (many - 1) * (say + answer);
+        let plain_memory = 2 * WRITES as usize * one;
+        println!(
+            "{many:2} members: {bytes} bytes in {messages:.1} messages a write, {:.2} copies of a record, {} KiB each; \
+             quiet {quiet} bytes a second each; all to all {plain_bytes} bytes, {many} copies, {} KiB each",
+            records as f64 / (2 * WRITES) as f64,
+            memory >> 10,
+            plain_memory >> 10,
+        );
+    }
+}
--- a/copies/src/mending.rs
+++ b/copies/src/mending.rs
@@ -106,8 +106,9 @@
             return;
         }
         let busy = self.job.is_some() || core.shelf.is_stale() || core.whole < core.stack.version();
-        self.next_tick = now + if busy { TICK } else { QUIET };
-        core.shelf.sweep(now, A_TICK);
+        let pause = if busy { TICK } else { QUIET };
+        self.next_tick = now + pause;
+        core.shelf.sweep(now, A_TICK * (pause / TICK) as usize);
         if core.holds() {
             let Core { shelf, stack, .. } = core;
             shelf.sum(A_TICK, |kind| stack.places(kind));
