--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -23,3 +23,10 @@
 #   keys     = ["1:00112233445566778899aabbccddeeff"]
 #   disk     = "/var/lib/leverpoint/member"
 # }
+#
+# Nothing is copied on the users' platform, as it needs members. Elsewhere, with sessions { follow = true, number = "..." }:
+#
+# copies {
+#   on     = true
+#   copies = 3
+# }
