rig: writes beside a fleet without copies, in service and alone; what stood twice stands once

Need: one client on an idle machine shows the waking of processes more than a fleet in service does.

Change: run copies measures both; Done::ticket and stage::of_session in place of copies of them.

--- a/copies/src/core.rs
+++ b/copies/src/core.rs
@@ -88,6 +88,19 @@
     Known { ticket: u64, record: Option<Record>, exact: bool },
 }
 
+impl Done {
+    /// By which it was asked for.
+    pub fn ticket(&self) -> u64 {
+        match self {
+            Done::Promised { ticket, .. }
+            | Done::Unpromised { ticket }
+            | Done::Turned { ticket, .. }
+            | Done::Owes { ticket, .. }
+            | Done::Known { ticket, .. } => *ticket,
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
     /// Layouts that counted are left; the newest counts alone.
--- a/copies/tests/fleet.rs
+++ b/copies/tests/fleet.rs
@@ -105,14 +105,7 @@
                     self.does(n, all);
                 }
                 Do::Done(done) => {
-                    let ticket = match &done {
-                        Done::Promised { ticket, .. }
-                        | Done::Unpromised { ticket }
-                        | Done::Turned { ticket, .. }
-                        | Done::Owes { ticket, .. }
-                        | Done::Known { ticket, .. } => *ticket,
-                    };
-                    assert!(self.done.insert((n, ticket), done).is_none(), "told twice");
+                    assert!(self.done.insert((n, done.ticket()), done).is_none(), "told twice");
                 }
                 Do::Say(_) => {}
             }
@@ -296,7 +289,7 @@
     assert!(matches!(fleet.go(0, first), Done::Promised { verdict: Verdict::New, .. }));
     // Its gateway is gone with all it knew.
     fleet.members.remove(&0);
-    let mut asks = |fleet: &mut Fleet, n, number, set| {
+    let asks = |fleet: &mut Fleet, n, number, set| {
         let ticket = fleet.begins(n, 7, claim(1, number, set, true));
         let Done::Promised { verdict, .. } = fleet.go(n, ticket) else { panic!("promised") };
         fleet.ends(n, ticket, Came::Never);
--- a/link/src/copies.rs
+++ b/link/src/copies.rs
@@ -229,13 +229,7 @@
     }
 
     fn done(&self, done: Done) {
-        let ticket = match &done {
-            Done::Promised { ticket, .. }
-            | Done::Unpromised { ticket }
-            | Done::Turned { ticket, .. }
-            | Done::Owes { ticket, .. }
-            | Done::Known { ticket, .. } => *ticket,
-        };
+        let ticket = done.ticket();
         let waits = self.waits.borrow_mut().remove(&ticket);
         match (waits, done) {
             (Some(Waits::Write(then)), Done::Promised { verdict, .. }) => then(ticket, Go::Promised(verdict)),
--- a/rig/src/copies.rs
+++ b/rig/src/copies.rs
@@ -48,7 +48,9 @@
     pub p99_ms: f64,
     /// Of reads right after a report whose machine was lost: the time, which is the replicas' lag for the most part.
     pub after_loss_p50_ms: f64,
+    /// Writes' p99 over that of a fleet that copies nothing: with players in service, and one client alone on a quiet machine.
     pub p99_ratio: f64,
+    pub p99_ratio_alone: f64,
     pub repair_s_p99: f64,
     /// Repeats that were ended at once, as nobody could know whether they had run.
     pub unclear_share: f64,
@@ -273,8 +275,9 @@
     Ok(())
 }
 
-/// Writes through a gateway that copies and through one that does not, in turns; the p99 of the one over the other's.
-fn beside(asked: &Asked, program: &Path) -> Result<f64, String> {
+/// Writes through a fleet that copies and through one that does not, in turns, by as many clients as play at a time; the
+/// p99 of the one over the other's.
+fn beside(asked: &Asked, program: &Path, clients: usize) -> Result<f64, String> {
     let (_set, _members, known) = serving(BUILD, MEMBERS, WORK);
     let stages: Vec<Stage> = [true, false]
         .into_iter()
@@ -288,21 +291,51 @@
             stage
         })
         .collect();
+    let addresses: Vec<Vec<String>> = stages
+        .iter()
+        .map(|stage| (0..PROCESSES).map(|p| stage.gateway(p).address.clone()).collect())
+        .collect();
+    let rounds = if asked.short { 1_000 } else { 10_000 } / clients;
+    let parts: Vec<Result<[Histogram<u64>; 2], String>> = thread::scope(|scope| {
+        let addresses = &addresses;
+        let all: Vec<_> =
+            (0..clients).map(|n| scope.spawn(move || in_turns(n, rounds, addresses, clients > 1))).collect();
+        all.into_iter().map(|client| client.join().expect("a client ends by itself")).collect()
+    });
+    let mut times = [histogram(), histogram()];
+    for part in parts {
+        for (all, some) in times.iter_mut().zip(part?) {
+            all.add(&some).map_err(|e| e.to_string())?;
+        }
+    }
+    let at = |which: usize, q: f64| times[which].value_at_quantile(q) as f64;
+    let [on, off] = [0, 1].map(|which| [at(which, 0.5), at(which, 0.99)]);
+    eprintln!("{clients} clients' writes, p50 and p99 in us: {on:?} with copies, {off:?} without");
+    Ok(on[1] / off[1])
+}
+
+/// One client's writes, one fleet after the other.
+fn in_turns(
+    n: usize,
+    rounds: usize,
+    addresses: &[Vec<String>],
+    pauses: bool,
+) -> Result<[Histogram<u64>; 2], String> {
+    let mut chance = Rng::with_seed(n as u64);
     let mut times = [histogram(), histogram()];
-    let lines: Option<Vec<_>> =
-        stages.iter().map(|stage| stage::connect(&stage.gateway(0).address)).collect();
-    let mut lines = lines.ok_or("no line")?;
-    for n in 0..if asked.short { 2_000 } else { 20_000 } {
-        for (which, line) in lines.iter_mut().enumerate() {
-            let id = format!("b{n}x{which}");
-            let text = format!(
-                "INSERT INTO records (k, v) VALUES ('64-p{}', '\\x9f') RETURNING v \
-                 /* id={id},c=report,t=honest,d=2000,k={id},cluster=2 */",
-                n % 100
-            );
+    let connect = |of: &Vec<String>| of.iter().map(|to| stage::connect(to)).collect::<Option<Vec<_>>>();
+    let mut lines = addresses.iter().map(connect).collect::<Option<Vec<_>>>().ok_or("no line")?;
+    for round in 0..rounds {
+        let to = chance.usize(..PROCESSES);
+        for (which, fleet) in lines.iter_mut().enumerate() {
+            if pauses {
+                thread::sleep(Duration::from_millis(chance.u64(5..40)));
+            }
+            let id = format!("b{n}n{round}x{which}");
+            let text = stage::of_session(&format!("64-b{n}x{}", round % 10), &id, true);
             let began = Instant::now();
             loop {
-                let heard = stage::ask(line, &text).ok_or("a connection ended")?;
+                let heard = stage::ask(&mut fleet[to], &text).ok_or("a connection ended")?;
                 match judged(&heard, &made(&id, 64)) {
                     Judged::Answered => break,
                     // Its client comes back; that time counts as well.
@@ -313,15 +346,7 @@
             times[which].saturating_record(began.elapsed().as_micros() as u64);
         }
     }
-    let at = |which: usize, q: f64| times[which].value_at_quantile(q) as f64;
-    eprintln!(
-        "writes' p50 {} and {} us, p99 {} and {} us, with and without",
-        at(0, 0.5),
-        at(1, 0.5),
-        at(0, 0.99),
-        at(1, 0.99)
-    );
-    Ok(at(0, 0.99) / at(1, 0.99))
+    Ok(times)
 }
 
 /// Players that report and look, each time through whichever gateway.
@@ -370,16 +395,7 @@
         ids += 1;
         let (id, wrote) = (format!("q{n}n{ids}"), set.wrote(&session));
         let write = wrote.is_none() || chance.u8(..4) == 0;
-        let text = if write {
-            format!(
-                "INSERT INTO records (k, v) VALUES ('{session}', '\\x9f') RETURNING v \
-                 /* id={id},c=report,t=honest,d=2000,k={id},cluster=2 */"
-            )
-        } else {
-            format!(
-                "SELECT v FROM records WHERE k = '{session}' /* id={id},c=own,t=honest,d=2000,cluster=2 */"
-            )
-        };
+        let text = stage::of_session(&session, &id, write);
         let began = Instant::now();
         let line = &mut lines[chance.usize(..addresses.len())];
         let Some(heard) = line.as_mut().and_then(|stream| stage::ask(stream, &text)) else { continue };
@@ -562,7 +578,8 @@
     }
     players(asked, &program, &mut figures)?;
     if !asked.without {
-        figures.p99_ratio = beside(asked, &program)?;
+        figures.p99_ratio_alone = beside(asked, &program, 1)?;
+        figures.p99_ratio = beside(asked, &program, PLAYERS)?;
         if asked.records > 0 {
             replaced(asked, &program)?;
         }
--- a/rig/src/price.rs
+++ b/rig/src/price.rs
@@ -65,16 +65,7 @@
         let id = format!("p{n}n{ids}");
         let wrote = set.wrote(&session);
         let write = wrote.is_none() || chance.u8(..4) == 0;
-        let text = if write {
-            format!(
-                "INSERT INTO records (k, v) VALUES ('{session}', '\\x9f') RETURNING v \
-                 /* id={id},c=report,t=honest,d=2000,k={id},cluster=2 */"
-            )
-        } else {
-            format!(
-                "SELECT v FROM records WHERE k = '{session}' /* id={id},c=own,t=honest,d=2000,cluster=2 */"
-            )
-        };
+        let text = stage::of_session(&session, &id, write);
         let asked = Instant::now();
         let Some(heard) = stage::ask(stream, &text) else {
             line = None;
--- a/rig/src/stage.rs
+++ b/rig/src/stage.rs
@@ -48,6 +48,18 @@
     gateway::start(&text, address, agent, program, &words)
 }
 
+/// A session's report, or its look at what it has written.
+pub fn of_session(session: &str, id: &str, write: bool) -> String {
+    if write {
+        format!(
+            "INSERT INTO records (k, v) VALUES ('{session}', '\\x9f') RETURNING v \
+             /* id={id},c=report,t=honest,d=2000,k={id},cluster=2 */"
+        )
+    } else {
+        format!("SELECT v FROM records WHERE k = '{session}' /* id={id},c=own,t=honest,d=2000,cluster=2 */")
+    }
+}
+
 /// A connection that is admitted.
 pub fn connect(address: &str) -> Option<TcpStream> {
     let mut stream = TcpStream::connect(address).ok()?;
