--- a/copies/benches/plain.rs
+++ b/copies/benches/plain.rs
@@ -104,7 +104,7 @@
         let records: usize = (0..many).map(|n| held(n).positions + held(n).keys).sum();
         let memory = (0..many).map(|n| held(n).bytes).sum::<usize>() / many;
         // The plain way: both records to everybody before the write and after it, each answered.
-        let one = if records > 0 { memory * many / records } else { size_of::<Record>() };
+        let one = (memory * many).checked_div(records).unwrap_or(size_of::<Record>());
         let (say, answer) = (2 * 36 + 40 + 40, 36 + 24);
         let plain_bytes = 2 * (many - 1) * (say + answer);
         let plain_memory = 2 * WRITES as usize * one;
