A life that ended in order is accounted for half a minute alone, and not once its next one is heard of

Need: a test of a mixed fleet showed it: a member that ended in order and was started again without copies (or cut off from some holder) counted for ever as one that answers nothing, so reads at that holder called themselves exact.

Change: the word of an end echoes the holder's time, as leases do, and lasts fifteen of them; a gateway takes a holder that has not answered this life for one that may still go by the last; members' news of a life ends it at once; a holder is accounted for with the memory that the layout names alone.

--- a/copies/src/asking.rs
+++ b/copies/src/asking.rs
@@ -467,6 +467,7 @@
             core.alone_open = core.alone_open.saturating_sub(1);
             if came != Came::Never {
                 core.alone_until = core.alone_until.max(at).max(now + core.terms.clocks);
+                core.shelf.raise_floor(core.alone_until);
             }
         }
         let Some(ours) = self.ours.get_mut(&going.session) else { return };
--- a/copies/src/copier.rs
+++ b/copies/src/copier.rs
@@ -59,7 +59,7 @@
 impl Copier {
     /// `kept`: what a life before has left with the same memory; none: this memory is a new one.
     pub fn new(now: Tenths, me: Me, terms: Terms, kept: Option<Left>) -> Copier {
-        let mut core = Core::new(terms, me);
+        let mut core = Core::new(now, terms, me);
         if let Some(Left { meta, records }) = kept {
             match meta {
                 Some(meta) => {
@@ -166,16 +166,12 @@
             return self.out();
         }
         core.counts.heard += 1;
-        let before = core.leases.other(&said.name).map(|other| other.life);
-        if before.is_some_and(|before| said.life < before) {
+        if core.leases.other(&said.name).is_some_and(|other| said.life < other.life) {
             // Of a life that has ended.
             return self.out();
         }
-        let shows = core.leases.speaks(now, &said.name, said.life, said.memory);
-        if let Some(before) = before.filter(|before| *before > 0 && *before < said.life) {
-            core.life_ended(life_number(&said.name, before));
-        }
-        core.shows(now, shows);
+        self.speaks(now, &said.name, said.life, said.memory);
+        let core = &mut self.core;
         let Envelope { name, memory, version, number, body, .. } = said;
         if *version == core.stack.version() && core.leases.wants_word(now, name, *version) {
             // It has come to this layout just now: its word is not waited for until the next round.
@@ -224,6 +220,25 @@
         self.out()
     }
 
+    /// That life of a name is there, whoever says so: an earlier one is no more, and a later one has promised nothing yet.
+    fn speaks(&mut self, now: Tenths, name: &str, life: u64, memory: u64) {
+        let core = &mut self.core;
+        let before = core.leases.other(name).map(|other| other.life);
+        let shows = core.leases.speaks(now, name, life, memory);
+        if let Some(before) = before.filter(|before| *before > 0 && *before < life) {
+            core.life_ended(life_number(name, before));
+        }
+        core.shows(now, shows);
+    }
+
+    /// The fleet has heard of a life of that name.
+    pub fn seen(&mut self, now: Tenths, name: &str, life: u64, memory: u64) -> Vec<Do> {
+        if name != self.core.me.name {
+            self.speaks(now, name, life, memory);
+        }
+        self.out()
+    }
+
     /// All holders of the newest layout have their parts: what came before counts no more.
     fn settles(&mut self, now: Tenths) {
         let core = &mut self.core;
@@ -331,7 +346,8 @@
             let me = core.me.name.clone();
             for name in names.into_iter().filter(|name| *name != me) {
                 let number = core.number();
-                core.send(&name, number, Body::Ends);
+                let echo = core.leases.last_said(&name);
+                core.send(&name, number, Body::Ends { echo });
             }
         } else {
             self.renews(now);
--- a/copies/src/core.rs
+++ b/copies/src/core.rs
@@ -204,10 +204,10 @@
 }
 
 impl Core {
-    pub fn new(terms: Terms, me: Me) -> Core {
+    pub fn new(now: Tenths, terms: Terms, me: Me) -> Core {
         Core {
             stack: Stack::new(terms.copies),
-            leases: Leases::new(terms.lease),
+            leases: Leases::new(now, terms.lease),
             shelf: Shelf::new(terms.limits),
             out: Vec::new(),
             counts: Counts::default(),
@@ -321,17 +321,18 @@
         if plant("alone-unseen") {
             return false;
         }
-        let Some(layout) = self.stack.newest() else { return true };
-        let unseen = |name: &str| name != but && name != self.me.name && !self.leases.accounted(now, name);
-        (but != self.me.name && self.alone_open > 0)
-            || layout.holders.iter().any(|holder| unseen(&holder.name))
+        self.stack.newest().is_none()
+            || (but != self.me.name && self.alone_open > 0)
+            || self.unseen(now).any(|name| name != but)
     }
 
     /// Other holders that may be answering without a promise, as far as is known here.
     pub fn unseen(&self, now: Tenths) -> impl Iterator<Item = &str> {
         let holders = self.stack.newest().into_iter().flat_map(|layout| &layout.holders);
-        let names = holders.map(|holder| holder.name.as_str());
-        names.filter(move |name| *name != self.me.name && !self.leases.accounted(now, name))
+        let unseen = holders.filter(move |holder| {
+            holder.name != self.me.name && !self.leases.accounted(now, &holder.name, holder.memory)
+        });
+        unseen.map(|holder| holder.name.as_str())
     }
 
     /// Who was not accounted for is no more: what it did lies before this instant.
--- a/copies/src/lease.rs
+++ b/copies/src/lease.rs
@@ -15,8 +15,6 @@
     pub memory: u64,
     /// It promises all that it answers, or answers nothing, up to then, by this one's clock.
     until: Tenths,
-    /// Its life has ended in order.
-    ended: bool,
     /// This one's last word that it has answered, going by that layout, was sent then.
     touched: (u64, Tenths),
     /// The last time of its clock that it has said, and when that came.
@@ -29,9 +27,14 @@
     asked: Option<(u32, Tenths)>,
 }
 
+/// One that ends in order is not missed for so many leases: half a minute, in which it is started again.
+const RESTARTS: Tenths = 15;
+
 #[derive(Debug)]
 pub struct Leases {
     length: Tenths,
+    /// When this life began.
+    began: Tenths,
     others: BTreeMap<String, Other>,
 }
 
@@ -44,8 +47,8 @@
 }
 
 impl Leases {
-    pub fn new(length: Tenths) -> Leases {
-        Leases { length, others: BTreeMap::new() }
+    pub fn new(began: Tenths, length: Tenths) -> Leases {
+        Leases { length, began, others: BTreeMap::new() }
     }
 
     /// Clocks run alike to an eighth of a lease, far beyond what any clock is off in that time.
@@ -85,12 +88,18 @@
         }
     }
 
-    pub fn ends(&mut self, name: &str, life: u64) {
-        if let Some(other) = self.others.get_mut(name).filter(|other| other.life == life) {
-            other.ended = true;
+    /// That life has ended in order: it answers nothing more, and its next one may be taken for it for a while.
+    pub fn ends(&mut self, name: &str, life: u64, echo: Tenths) {
+        if let Some(other) = self.others.get_mut(name).filter(|other| other.life == life && echo > 0) {
+            other.until = other.until.max(echo + self.length * RESTARTS);
         }
     }
 
+    /// What goes with the last word to that one.
+    pub fn last_said(&self, name: &str) -> Tenths {
+        self.others.get(name).map_or(0, |other| other.said.0)
+    }
+
     /// A word goes out; what it echoes. Nothing while this one answers without promises.
     pub fn asks(&mut self, now: Tenths, name: &str, number: u32, alone: bool) -> Tenths {
         let (length, margin) = (self.length, self.margin());
@@ -130,14 +139,18 @@
         })
     }
 
-    /// Whether it promises all that it answers, as far as can be told here.
-    pub fn accounted(&self, now: Tenths, name: &str) -> bool {
-        self.others.get(name).is_some_and(|other| other.accounted(now))
+    /// Whether it, with that memory, promises all that it answers, as far as can be told here.
+    pub fn accounted(&self, now: Tenths, name: &str, memory: u64) -> bool {
+        self.others.get(name).is_some_and(|other| other.memory == memory && other.accounted(now))
     }
 
     /// When the last moment is in which it may take this one for one that promises.
     pub fn there_until(&self, name: &str) -> Tenths {
-        self.others.get(name).map_or(0, |other| other.there)
+        match self.others.get(name) {
+            Some(other) if other.touched.1 > 0 => other.there,
+            // It has not answered this life, and may take it for the one before, which ended in order.
+            other => other.map_or(0, |o| o.there).max(self.began + self.length * RESTARTS + self.margin()),
+        }
     }
 
     pub fn whole(&self, name: &str) -> u64 {
@@ -160,6 +173,6 @@
 
 impl Other {
     fn accounted(&self, now: Tenths) -> bool {
-        self.ended || now < self.until
+        now < self.until
     }
 }
--- a/copies/src/message.rs
+++ b/copies/src/message.rs
@@ -114,8 +114,10 @@
     Refused {
         why: Why,
     },
-    /// This member ends in order, and answers nothing more without a promise.
-    Ends,
+    /// This life ends in order, and answers nothing more; the time that you said last.
+    Ends {
+        echo: Tenths,
+    },
 }
 
 impl Envelope {
@@ -143,7 +145,7 @@
                     && stack.windows(2).all(|pair| pair[0].version < pair[1].version)
             }
             Body::Renew { echo, alone, .. } => *echo >= 0 && *alone >= 0,
-            Body::Renewed { time, .. } => *time >= 0,
+            Body::Renewed { time, .. } | Body::Ends { echo: time } => *time >= 0,
             _ => true,
         };
         body && !self.name.is_empty()
--- a/copies/src/serving.rs
+++ b/copies/src/serving.rs
@@ -34,7 +34,7 @@
             };
             core.send(to, number, body);
         }
-        Body::Ends => core.leases.ends(to, said.life),
+        Body::Ends { echo } => core.leases.ends(to, said.life, *echo),
         Body::Put { .. } | Body::Get { .. } | Body::Sums { .. } | Body::Bucket { .. } | Body::Mine { .. } => {
             if let Some(why) = core.why_not(now, *version) {
                 core.counts.refused += 1;
--- a/gateway/tests/copies.rs
+++ b/gateway/tests/copies.rs
@@ -362,3 +362,30 @@
         assert!(began.elapsed() < LONG, "{text}");
     }
 }
+
+#[test]
+fn beside_one_that_copies_nothing_reads_owe_the_instant_and_writes_are_promised() {
+    let mut fleet = five(3);
+    // As a program that knows nothing of copies: the others ask it in vain, and never know what it has answered.
+    fleet.stage.end(4);
+    fleet.stage.older.push(4);
+    fleet.stage.start(4);
+    fleet.stage.meet(&[0, 1, 2, 3, 4], 3);
+    fleet.until(0, "copies.unseen", |unseen| unseen == 1);
+    for n in 0..6 {
+        fleet.writes(n % 4, &format!("s{n}"), &format!("k{n}"));
+        fleet.sees((n + 1) % 4, &format!("s{n}"));
+        fleet.writes(4, &format!("s{n}"), &format!("o{n}"));
+        fleet.sees((n + 2) % 4, &format!("s{n}"));
+    }
+    assert!((0..4).all(|p| fleet.counted(p, "exact") == 0));
+    let asked = fleet.stage.runs_words(4, &["copies"]);
+    assert!(String::from_utf8_lossy(&asked.stderr).contains("nothing is copied here"));
+    // Once it is of the others' kind they know again.
+    fleet.stage.end(4);
+    fleet.stage.older.clear();
+    fleet.stage.start(4);
+    (0..5).for_each(|p| fleet.stage.settles(p));
+    fleet.sees(1, "s5");
+    assert_eq!((fleet.counted(1, "exact"), fleet.effects().0), (1, 0));
+}
--- a/link/src/copies.rs
+++ b/link/src/copies.rs
@@ -128,6 +128,12 @@
         }
     }
 
+    /// The fleet has heard of a life of that name, by whatever way.
+    pub(crate) fn seen(self: &Rc<Self>, name: &str, life: u64, memory: u64) {
+        let all = self.copier.borrow_mut().seen(self.now(), name, life, memory);
+        self.does(all);
+    }
+
     pub(crate) fn heard(self: &Rc<Self>, envelope: &Envelope) {
         let all = self.copier.borrow_mut().heard(self.now(), envelope);
         self.does(all);
--- a/link/src/node.rs
+++ b/link/src/node.rs
@@ -175,7 +175,14 @@
         for one in all {
             match one {
                 Do::Send { to, envelope } => self.post.send(&to, &Said::Envelope(envelope)),
-                Do::Say(event) => (self.says)(&event),
+                Do::Say(event) => {
+                    if let (fellow::Event::Seen { name, incarnation, .. }, Some(copies)) =
+                        (&event, self.copies())
+                    {
+                        copies.seen(name, incarnation.life, incarnation.memory);
+                    }
+                    (self.says)(&event);
+                }
                 Do::Keep { number, kept } => {
                     let Some(keeper) = &self.keeper else {
                         // Nothing lasts here, and nobody is told that it did: the memory ends with this process.
--- a/stands/src/stage.rs
+++ b/stands/src/stage.rs
@@ -113,6 +113,8 @@
     ways: Vec<Vec<Way>>,
     relays: Vec<Vec<Option<SocketAddr>>>,
     pub keys: Vec<String>,
+    /// Processes whose file says nothing of `more`, as an older program's.
+    pub older: Vec<usize>,
 }
 
 pub const KEY: &str = "7:00112233445566778899aabbccddeeff";
@@ -147,7 +149,8 @@
             (a != b && build.relays).then(|| relay(places[b].link.clone(), forth, back, chance.u64(..)))
         };
         let relays = (0..n).map(|a| (0..n).map(|b| between(a, b)).collect()).collect();
-        Stage { program: program.to_owned(), build, root, places, ways, relays, keys: vec![KEY.into(); n] }
+        let keys = vec![KEY.into(); n];
+        Stage { program: program.to_owned(), build, root, places, ways, relays, keys, older: Vec::new() }
     }
 
     pub fn many(&self) -> usize {
@@ -193,7 +196,7 @@
             founders.join(", "),
             self.keys[p].split(' ').map(|key| format!("\"{key}\"")).collect::<Vec<_>>().join(", "),
             if self.build.disk { disk } else { String::new() } + &settles
-        ) + &self.build.more
+        ) + if self.older.contains(&p) { "" } else { &self.build.more }
     }
 
     /// Writes the operator's file anew, as its keys and ways are now.
