--- a/rig/src/copies.rs
+++ b/rig/src/copies.rs
@@ -380,6 +380,9 @@
     figures.needless_share =
         all.iter().filter(|(_, needless)| *needless).count() as f64 / all.len().max(1) as f64;
     figures.missing += missing;
+    if asked.without {
+        return Ok(());
+    }
     let exact: u64 = (0..PROCESSES).map(|p| stage.counted_of(p, "copies", "exact")).sum();
     let owed: u64 = (0..PROCESSES).map(|p| stage.counted_of(p, "copies", "owed")).sum();
     eprintln!("{} reads of players, {missing} missing, {exact} exact, {owed} owed the instant", all.len());
