Read once more: a layout's other holders are named in one place, dead state of copies/ goes

Need: the same list of names was made in three places, a count was written and never read, unkept took a time and made a list that it dropped, a write was looked up twice.

Change: Core::others serves renewing, leaving and comparing; the count, the argument and the list are gone.

--- a/copies/src/asking.rs
+++ b/copies/src/asking.rs
@@ -277,11 +277,9 @@
         let lost = if core.apart(now, &me.0) { now } else { core.shelf.floor() };
         if let Some(Op::Write(write)) = self.ops.get_mut(&op) {
             write.lost = write.lost.max(lost);
-        }
-        if let (Some(Op::Write(write)), Some(Record { value: Value::Key(fate), .. })) =
-            (self.ops.get_mut(&op), core.shelf.get(kind))
-        {
-            Self::learn(write, fate);
+            if let Some(Record { value: Value::Key(fate), .. }) = core.shelf.get(kind) {
+                Self::learn(write, fate);
+            }
         }
         self.has(core, now, op, kind, &me);
     }
--- a/copies/src/copier.rs
+++ b/copies/src/copier.rs
@@ -286,10 +286,8 @@
     }
 
     /// The disk keeps nothing any more: as a holder this one is lost.
-    pub fn unkept(&mut self, now: Tenths) -> Vec<Do> {
-        let _ = now;
-        // What waited is not answered: whoever asked goes on without.
-        drop(self.core.unkept());
+    pub fn unkept(&mut self) -> Vec<Do> {
+        self.core.unkept();
         self.out()
     }
 
@@ -312,15 +310,11 @@
 
     /// A word to each other holder.
     fn renews(&mut self, now: Tenths) {
-        let core = &mut self.core;
-        let Some(layout) = core.stack.newest() else { return };
-        let names: Vec<String> =
-            layout.holders.iter().map(|h| h.name.clone()).filter(|name| *name != core.me.name).collect();
-        let others = names.clone();
-        for name in names {
-            if !core.stack.known() {
-                let number = core.number();
-                core.send(&name, number, Body::Which);
+        let others = self.core.others();
+        if !self.core.stack.known() {
+            for name in &others {
+                let number = self.core.number();
+                self.core.send(name, number, Body::Which);
             }
         }
         others.iter().for_each(|name| self.renew(now, name));
@@ -339,12 +333,9 @@
     pub fn leave(&mut self, now: Tenths) -> Vec<Do> {
         let core = &mut self.core;
         core.taking_part = false;
-        let names: Vec<String> =
-            core.stack.newest().map_or(Vec::new(), |l| l.holders.iter().map(|h| h.name.clone()).collect());
         // What is answered without a promise is handed over first; while any is open nobody is told of an end.
         if core.alone_open == 0 && core.alone_until == 0 {
-            let me = core.me.name.clone();
-            for name in names.into_iter().filter(|name| *name != me) {
+            for name in core.others() {
                 let number = core.number();
                 let echo = core.leases.last_said(&name);
                 core.send(&name, number, Body::Ends { echo });
--- a/copies/src/core.rs
+++ b/copies/src/core.rs
@@ -197,7 +197,6 @@
     pub lost_until: Tenths,
     kept_floor: Tenths,
     keeps: u64,
-    kept: u64,
     numbers: u32,
     waiting: VecDeque<(u64, After)>,
     ended: BTreeSet<u64>,
@@ -221,7 +220,6 @@
             lost_until: 0,
             kept_floor: 0,
             keeps: 0,
-            kept: 0,
             numbers: 0,
             waiting: VecDeque::new(),
             ended: BTreeSet::new(),
@@ -266,7 +264,6 @@
 
     /// All up to this number is kept: what waited for it, in order.
     pub fn take_kept(&mut self, number: u64) -> Vec<After> {
-        self.kept = self.kept.max(number);
         let mut all = Vec::new();
         while let Some((_, after)) = self.waiting.pop_front_if(|(n, _)| *n <= number) {
             all.push(after);
@@ -274,11 +271,12 @@
         all
     }
 
-    pub fn unkept(&mut self) -> Vec<After> {
+    /// Nothing is kept any more: what waited for it is not answered, and whoever asked goes on without.
+    pub fn unkept(&mut self) {
         if !std::mem::replace(&mut self.failed, true) {
             self.out.push(Do::Say(Event::DiskFailed));
         }
-        self.waiting.drain(..).map(|(_, after)| after).collect()
+        self.waiting.clear();
     }
 
     /// Whether this member, with its memory, is a holder of the newest layout.
@@ -286,6 +284,12 @@
         self.stack.newest().is_some_and(|layout| layout.has(&self.me.name, self.me.memory))
     }
 
+    /// The names of the newest layout's other holders.
+    pub fn others(&self) -> Vec<String> {
+        let holders = self.stack.newest().into_iter().flat_map(|layout| &layout.holders);
+        holders.map(|holder| holder.name.clone()).filter(|name| *name != self.me.name).collect()
+    }
+
     pub fn is_me(&self, who: &(String, u64)) -> bool {
         who.0 == self.me.name && who.1 == self.me.memory
     }
--- a/copies/src/mending.rs
+++ b/copies/src/mending.rs
@@ -75,9 +75,8 @@
 impl Mending {
     /// Compares with all others, one after the other.
     pub fn verify(&mut self, core: &Core) {
-        let Some(layout) = core.stack.newest() else { return };
         self.compared.clear();
-        self.wanted = layout.holders.iter().map(|h| h.name.clone()).filter(|n| *n != core.me.name).collect();
+        self.wanted = core.others().into();
     }
 
     /// How many are still to be compared with.
--- a/copies/tests/fleet.rs
+++ b/copies/tests/fleet.rs
@@ -101,7 +101,7 @@
                     let now = self.now;
                     let Some(member) = self.members.get_mut(&n) else { return };
                     let all =
-                        if self.broken.contains(&n) { member.unkept(now) } else { member.kept(now, number) };
+                        if self.broken.contains(&n) { member.unkept() } else { member.kept(now, number) };
                     self.does(n, all);
                 }
                 Do::Done(done) => {
--- a/link/src/copies.rs
+++ b/link/src/copies.rs
@@ -220,7 +220,7 @@
                         let all = if done {
                             copies.copier.borrow_mut().kept(copies.now(), number)
                         } else {
-                            copies.copier.borrow_mut().unkept(copies.now())
+                            copies.copier.borrow_mut().unkept()
                         };
                         copies.does(all);
                     };
