--- a/drill/src/instance.rs
+++ b/drill/src/instance.rs
@@ -227,7 +227,7 @@
         let mut effects = std::mem::take(&mut self.effects);
         for effect in effects.drain(..) {
             match effect {
-                Effect::Dispatch { cmd, server, timeout } => {
+                Effect::Dispatch { cmd, server, timeout, .. } => {
                     let held = &mut self.held[cmd];
                     held.out += 1;
                     reply.submit(*self.commands.id(cmd), timeout as f64 / 10.0, *self.servers.id(server));
--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -148,6 +148,20 @@
     fn let_go(&self, server: usize);
 }
 
+/// That a command needs no dispatch any more: its client has gone, or it has its final answer.
+#[derive(Default)]
+struct Over {
+    over: Cell<bool>,
+    told: Notify,
+}
+
+impl Over {
+    fn set(&self) {
+        self.over.set(true);
+        self.told.notify_waiters();
+    }
+}
+
 /// One dispatch, or a probe, to be carried out; it ends exactly once, at the latest when it is dropped.
 pub struct Order {
     exchange: Rc<Exchange>,
@@ -162,6 +176,11 @@
     pub peer: Option<Rc<Peer>>,
     pub wait: Tenths,
     pub until: Instant,
+    /// After this it must not begin.
+    by: Instant,
+    /// The server's number of changes as this was decided.
+    changes: u64,
+    over: Rc<Over>,
     pub called_off: Rc<Notify>,
     pub reached: Cell<Reached>,
     /// When the row was whole.
@@ -172,6 +191,15 @@
     kept: RefCell<Option<Row>>,
 }
 
+/// What is dispatched, and by when that must have begun.
+struct For {
+    statement: Rc<Statement>,
+    peer: Rc<Peer>,
+    of: Option<Of>,
+    over: Rc<Over>,
+    by: Tenths,
+}
+
 #[derive(Clone, Copy)]
 enum Errand {
     Dispatch { cmd: usize, nth: u32 },
@@ -234,6 +262,30 @@
         self.delivered.get().is_some()
     }
 
+    /// Whether what it was decided by still holds, as its first byte is about to go out: the command is open and
+    /// its client there, the server is listed as it was, and nothing that may run again only for a while is late.
+    pub fn may_begin(&self) -> bool {
+        plant("begun-late")
+            || (!self.over.over.get()
+                && now() <= self.by
+                && !self.peer.as_ref().is_some_and(|peer| peer.has_ended())
+                && self.server_stands())
+    }
+
+    /// Whether the server has not been drained, moved or started again since this was decided, and is not gone.
+    pub fn server_stands(&self) -> bool {
+        let inner = self.exchange.inner.borrow();
+        inner.places.get(self.server).is_some_and(|site| site.changes == self.changes)
+    }
+
+    /// Waits until the command needs no dispatch any more.
+    pub async fn not_wanted(&self) {
+        let told = self.over.told.notified();
+        if !self.over.over.get() {
+            told.await;
+        }
+    }
+
     /// A fault as far as the dispatch has come.
     pub fn fault(&self, cause: Cause) -> Fault {
         Fault { reached: self.reached.get(), cause }
@@ -315,6 +367,8 @@
     of: Option<Of>,
     answer: Option<oneshot::Sender<Final>>,
     peer: Rc<Peer>,
+    effect: Effects,
+    over: Rc<Over>,
     dispatches: u32,
     out: Vec<(u32, Rc<Notify>)>,
     /// By what others have been told of it, and whether it may have run.
@@ -367,6 +421,8 @@
     started_ms: f64,
     set: u16,
     drained: bool,
+    /// How often it was let go: drained, moved, started again or gone.
+    changes: u64,
 }
 
 pub struct Exchange {
@@ -384,6 +440,9 @@
     /// Whether any list has come, and word of the first.
     listed: Cell<bool>,
     first_list: Notify,
+    /// Whether discovery was asked once, and word of it.
+    asked: Cell<bool>,
+    first_asked: Notify,
     pub counters: Rc<Counters>,
     /// None where nothing of it is copied.
     copied: RefCell<Option<Rc<dyn Copied>>>,
@@ -460,6 +519,8 @@
             list_wanted: Notify::new(),
             listed: Cell::new(false),
             first_list: Notify::new(),
+            asked: Cell::new(false),
+            first_asked: Notify::new(),
             opened,
             carrier: RefCell::new(None),
             copied: RefCell::new(None),
@@ -480,6 +541,25 @@
         *self.copied.borrow_mut() = Some(copied);
     }
 
+    /// Nothing is open longer than until then: what still is hears then that it has not been answered.
+    pub async fn ends_by(&self, until: Instant) {
+        sleep_until(until).await;
+        let open: Vec<_> = {
+            let inner = self.inner.borrow();
+            let open = |(cmd, running): (usize, &Option<Running>)| {
+                let running = running.as_ref().filter(|running| !running.held.over)?;
+                // One that may have run may only be called throttled where a repeat does no harm.
+                let harmless =
+                    running.effect == Effects::Replayable || !running.may_have_run && running.out.is_empty();
+                Some((cmd, if harmless { Final::Throttled(0) } else { Final::Failed }))
+            };
+            inner.commands.iter().enumerate().filter_map(open).collect()
+        };
+        for (cmd, answer) in open {
+            self.deliver(cmd, answer);
+        }
+    }
+
     /// The longest that any client waits.
     pub fn longest_timeout(&self) -> Duration {
         let longest = self.opened.facts.groups.iter().map(|g| g.timeout).max().unwrap_or(0);
@@ -564,6 +644,8 @@
             of: None,
             answer: Some(answer),
             peer: peer.clone(),
+            effect: facts.effect,
+            over: Rc::default(),
             dispatches: 0,
             out: Vec::new(),
             copy: None,
@@ -779,6 +861,7 @@
                     return None;
                 }
                 running.held.over = true;
+                running.over.set();
                 running.answer = None;
                 self.counters.hung_up();
                 inner.decider.take(now, &Input::HungUp(cmd), effects);
@@ -789,6 +872,9 @@
                 running.held.out -= 1;
                 running.out.retain(|(n, _)| *n != nth);
                 running.held.over |= ending == Ending::Answered;
+                if running.held.over {
+                    running.over.set();
+                }
                 let held = running.held;
                 let word = self.word(said, held.write && ending == Ending::Answered);
                 let word = word.filter(|_| !(held.write && plant("token-forgotten")));
@@ -840,7 +926,7 @@
 
     fn carry_out(self: &Rc<Self>, effect: Effect) {
         match effect {
-            Effect::Dispatch { cmd, server, timeout } => self.dispatch(cmd, server, timeout),
+            Effect::Dispatch { cmd, server, timeout, by } => self.dispatch(cmd, server, timeout, by),
             Effect::Cancel { cmd, nth } => {
                 let inner = self.inner.borrow();
                 let running = inner.commands.get(cmd).and_then(Option::as_ref);
@@ -886,7 +972,9 @@
             Effect::ForgetServer(server) => {
                 let mut inner = self.inner.borrow_mut();
                 inner.servers.let_go(server);
-                inner.places[server] = Site::default();
+                // Numbers of changes are never used twice.
+                let changes = inner.places[server].changes + 1;
+                inner.places[server] = Site { changes, ..Site::default() };
                 drop(inner);
                 self.carrier.borrow().iter().for_each(|carrier| carrier.let_go(server));
             }
@@ -894,7 +982,7 @@
         }
     }
 
-    fn dispatch(self: &Rc<Self>, cmd: usize, server: usize, timeout: Tenths) {
+    fn dispatch(self: &Rc<Self>, cmd: usize, server: usize, timeout: Tenths, by: Tenths) {
         let mut inner = self.inner.borrow_mut();
         let Some(running) = inner.commands.get_mut(cmd).and_then(Option::as_mut) else { return };
         let nth = running.dispatches;
@@ -902,7 +990,13 @@
         running.held.out += 1;
         let called_off = Rc::new(Notify::new());
         running.out.push((nth, called_off.clone()));
-        let command = (running.statement.clone(), running.peer.clone(), running.of);
+        let command = For {
+            statement: running.statement.clone(),
+            peer: running.peer.clone(),
+            of: running.of,
+            over: running.over.clone(),
+            by,
+        };
         drop(inner);
         self.order(Errand::Dispatch { cmd, nth }, server, Some(command), timeout, called_off);
     }
@@ -911,15 +1005,18 @@
         self: &Rc<Self>,
         errand: Errand,
         server: usize,
-        command: Option<(Rc<Statement>, Rc<Peer>, Option<Of>)>,
+        command: Option<For>,
         wait: Tenths,
         called_off: Rc<Notify>,
     ) {
         let sent = self.clock.now();
-        let address = self.inner.borrow().places.get(server).and_then(|p| p.address);
+        let site = self.inner.borrow().places.get(server).cloned().unwrap_or_default();
+        let address = site.address;
         let until = self.clock.instant(sent + wait);
-        let of = command.as_ref().and_then(|(.., of)| *of);
-        let (statement, peer) = command.map(|(statement, peer, _)| (statement, peer)).unzip();
+        let of = command.as_ref().and_then(|command| command.of);
+        let by = command.as_ref().map_or(until, |command| until.min(self.clock.instant(command.by)));
+        let over = command.as_ref().map(|command| command.over.clone()).unwrap_or_default();
+        let (statement, peer) = command.map(|command| (command.statement, command.peer)).unzip();
         let mut order = Order {
             exchange: self.clone(),
             sent,
@@ -931,6 +1028,9 @@
             peer,
             wait,
             until,
+            by,
+            changes: site.changes,
+            over,
             called_off,
             reached: Cell::new(Reached::NotConnected),
             delivered: Cell::new(None),
@@ -956,6 +1056,7 @@
             return;
         }
         running.held.over = true;
+        running.over.set();
         add(match answer {
             Final::Answered(_) => &self.counters.answered,
             Final::Throttled(_) => &self.counters.throttled,
@@ -1027,8 +1128,13 @@
             let places = self.inner.borrow().places.len();
             left.extend((0..places).filter(|server| listed.iter().all(|l| l.server != *server)));
         }
+        {
+            let mut inner = self.inner.borrow_mut();
+            left.iter().for_each(|&server| inner.places[server].changes += 1);
+        }
         self.take(Event::List(news, listed));
         if news == News::Failed {
+            self.has_asked();
             // One that must be asked for is followed again once the module asks.
             self.following.set(self.opened.facts.list.pushed);
             return;
@@ -1036,6 +1142,7 @@
         self.listed.set(true);
         self.first_list.notify_waiters();
         if news != News::Remembered {
+            self.has_asked();
             self.tell_drains();
         }
         if let Some(carrier) = self.carrier.borrow().as_ref() {
@@ -1043,6 +1150,19 @@
         }
     }
 
+    fn has_asked(&self) {
+        if !self.asked.replace(true) {
+            self.first_asked.notify_waiters();
+        }
+    }
+
+    /// Waits until discovery was asked once, whatever came of it: what it can tell at a start counts from then on.
+    pub async fn asked(&self) {
+        if !self.asked.get() {
+            self.first_asked.notified().await;
+        }
+    }
+
     /// Who is drained by the list as it is now, for those who come later.
     fn tell_drains(&self) {
         let copied = self.copied.borrow().clone();
--- a/exchange/src/fault.rs
+++ b/exchange/src/fault.rs
@@ -24,6 +24,8 @@
     /// What came could not be whole before the dispatch's wait ends: of no use, like what is not the protocol.
     Trickled,
     CalledOff,
+    /// What it was decided by held no longer as it was about to begin.
+    NotWanted,
     /// The server has said that it takes no more connections.
     TurnedAway,
     /// No descriptor or no address to connect with.
@@ -39,8 +41,8 @@
 impl Fault {
     pub fn ending(self) -> Ending {
         match (self.reached < Reached::Written, self.cause) {
+            (true, Cause::NoMeans | Cause::NotWanted) => Ending::NotSent,
             (_, Cause::CalledOff) => Ending::Cancelled,
-            (true, Cause::NoMeans) => Ending::NotSent,
             (true, Cause::TurnedAway) => Ending::Full,
             (true, _) => Ending::NotConnected,
             (false, Cause::TimedOut) if plant("time-out-never-ran") => Ending::NotSent,
--- a/exchange/src/peers.rs
+++ b/exchange/src/peers.rs
@@ -198,6 +198,11 @@
 }
 
 impl Peer {
+    /// Whether its connection has ended as far as is known, though nobody may have read that far.
+    pub fn has_ended(&self) -> bool {
+        self.stream.ended()
+    }
+
     pub fn caps(&self) -> Caps {
         self.of.caps()
     }
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -4,6 +4,7 @@
 //! command twice, leave one without an answer while the client is there, or close a connection that has
 //! something read or readable on it. Servers are not known here.
 
+use std::cell::Cell;
 use std::future::poll_fn;
 use std::io::{self, ErrorKind};
 use std::pin::{Pin, pin};
@@ -19,6 +20,7 @@
 use leverpoint_facts::settings::span;
 use leverpoint_ground::{Instant, Stream, now, plant, since, sleep, sleep_until, timeout, timeout_at};
 
+use crate::cancels::{Cancels, Key};
 use crate::message::{self, Read};
 use crate::ring::Link;
 use crate::statement::{self, Kind};
@@ -30,9 +32,58 @@
 /// A way there and back through a usual network: within it a client that was admitted may have asked already.
 const YOUNG: Duration = Duration::from_millis(20);
 
+/// What is read ahead at once while a command is open, and at most for one client: a client that has gone is seen to
+/// go only once all that it has sent was read, up to what its own system and ours hold.
+const AHEAD: usize = 16 << 10;
+const MOST_AHEAD: usize = message::LONGEST;
+
+/// What all clients' connections stand on.
+pub struct House {
+    pub exchange: Rc<Exchange>,
+    pub peers: Rc<Peers>,
+    pub leaving: Rc<Leaving>,
+    pub cancels: Rc<Cancels>,
+    /// Bytes that may still be read ahead, for all together.
+    pub ahead: Rc<Cell<usize>>,
+}
+
+/// Bytes that are read ahead; given back when dropped.
+struct Ahead {
+    of: Rc<Cell<usize>>,
+    bytes: usize,
+}
+
+impl Ahead {
+    /// So much more, where that is left.
+    fn grow(&mut self) -> bool {
+        let left = self.of.get();
+        let grows = left >= AHEAD && self.bytes < MOST_AHEAD;
+        if grows {
+            self.of.set(left - AHEAD);
+            self.bytes += AHEAD;
+        }
+        grows
+    }
+
+    fn give_back(&mut self) {
+        self.of.set(self.of.get() + std::mem::take(&mut self.bytes));
+    }
+}
+
+impl Drop for Ahead {
+    fn drop(&mut self) {
+        self.give_back();
+    }
+}
+
 struct Client {
     link: Link,
     exchange: Rc<Exchange>,
+    cancels: Rc<Cancels>,
+    /// What the client may cancel its open command with, once it is admitted.
+    key: Option<Key>,
+    ahead: Ahead,
+    began: Instant,
     /// The longest client timeout.
     patience: Duration,
     peer: Rc<Peer>,
@@ -73,22 +124,18 @@
 }
 
 /// Serves one connection to its end.
-pub async fn serve(
-    stream: Stream,
-    exchange: Rc<Exchange>,
-    peers: Rc<Peers>,
-    leaving: Rc<Leaving>,
-    claim: Claim,
-    stays: bool,
-) {
+pub async fn serve(stream: Stream, house: Rc<House>, claim: Claim, stays: bool) {
+    let exchange = house.exchange.clone();
     add(&exchange.counters.clients.opened);
     let patience = exchange.longest_timeout();
     let link = Link::new(stream);
-    let peer = peers.enter(link.stream());
-    let lingers = exchange.connect_timeout();
-    let mut client = Client { link, exchange, patience, peer, stays, lingers, _claim: claim };
+    let peer = house.peers.enter(link.stream());
+    let (lingers, cancels) = (exchange.connect_timeout(), house.cancels.clone());
+    let (key, began, ahead) = (None, now(), Ahead { of: house.ahead.clone(), bytes: 0 });
+    let mut client =
+        Client { link, exchange, cancels, key, ahead, began, patience, peer, stays, lingers, _claim: claim };
     // However it ends, it ends here; what was out for it is told to the exchange by its ticket.
-    let _ = client.serve(&leaving).await;
+    let _ = client.serve(&house.leaving).await;
     if client.peer.is_let_go() {
         // What stands in the kernel for it goes as well.
         client.link.discard();
@@ -117,7 +164,7 @@
 
 impl Client {
     async fn serve(&mut self, leaving: &Leaving) -> io::Result<()> {
-        let began = now();
+        let began = self.began;
         let admitted = tokio::select! {
             biased;
             admitted = timeout_at(began + SHOWN_WITHIN, self.admit()) => admitted,
@@ -141,6 +188,9 @@
                 Read::Broken => return self.part("08P01", "a message of impossible length").await,
                 Read::Short(length) => {
                     let at = now();
+                    if self.link.input.is_empty() {
+                        self.ahead.give_back();
+                    }
                     if !self.link.input.is_empty() && due.is_none() {
                         self.peer.came(self.link.input.len());
                         due = Some(at + SHOWN_WITHIN);
@@ -157,7 +207,12 @@
                         },
                         Came::NoRoom => return self.part("53300", "no room for the message").await,
                         Came::LetGo => return self.part("08P01", "too slow, and room is short").await,
-                        Came::Leave => return self.leave().await,
+                        Came::Leave => match self.link.read_past() {
+                            // Heard just in time; a wait for its end is not one of the client's.
+                            Ok(_) => continue,
+                            Err(e) if e.kind() == ErrorKind::WouldBlock => return self.leave_unread().await,
+                            Err(e) => return Err(e),
+                        },
                         // What it asks may be on its way: it is sent back then, rather than cut off.
                         Came::MakeRoom if since(began) < YOUNG => {
                             (self.stays, self.lingers) = (false, YOUNG);
@@ -184,7 +239,7 @@
                 b'Q' => {
                     self.query(body, room).await?;
                     if !self.stays {
-                        return self.leave().await;
+                        return self.leave_unread().await;
                     }
                 }
                 b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' => {
@@ -245,7 +300,7 @@
     /// Answers the startup packets; false where the connection ends with them.
     async fn admit(&mut self) -> io::Result<bool> {
         loop {
-            let (code, _) = match message::startup(&mut self.link.input) {
+            let (code, rest) = match message::startup(&mut self.link.input) {
                 Ok(Some(packet)) => packet,
                 Ok(None) => {
                     self.link.read().await?;
@@ -258,9 +313,17 @@
             };
             match code {
                 message::SSL | message::GSSENC => self.write(b"N").await?,
-                message::CANCEL => return Ok(false),
+                message::CANCEL => {
+                    // It is answered by the close alone, whatever came of it.
+                    if let Ok(key) = <[u8; 8]>::try_from(rest) {
+                        self.cancels.cancel(u64::from_be_bytes(key), self.began);
+                    }
+                    return Ok(false);
+                }
                 code if code >> 16 == 3 => {
-                    self.write(&message::admitted(code & 0xffff)).await?;
+                    self.key = self.cancels.key();
+                    let key = self.key.as_ref().map(Key::bytes);
+                    self.write(&message::admitted(code & 0xffff, key)).await?;
                     return Ok(true);
                 }
                 _ => {
@@ -311,27 +374,46 @@
         };
         drop(body);
         let (until, group) = (ticket.until, ticket.group);
-        tokio::pin!(ticket);
-        let answer = loop {
-            tokio::select! {
-                biased;
-                answer = &mut ticket => break answer,
-                _ = sleep_until(until), if !plant("wait-without-end") => break Final::Failed,
-                // What comes meanwhile waits in the ring; an end of the connection ends the command.
-                read = self.link.read() => { read?; }
+        let answer = {
+            let open = self.key.as_ref().map(Key::opens);
+            let cancelled = async {
+                match &open {
+                    Some(open) => open.cancelled().await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::pin!(ticket, cancelled);
+            if self.link.input.space() == 0 && self.ahead.grow() {
+                self.link.look_ahead(AHEAD);
+            }
+            loop {
+                tokio::select! {
+                    biased;
+                    answer = &mut ticket => break Some(answer),
+                    _ = &mut cancelled => break None,
+                    _ = sleep_until(until), if !plant("wait-without-end") => break Some(Final::Failed),
+                    // What comes meanwhile waits in the ring; an end of the connection ends the command.
+                    read = self.link.read() => {
+                        read?;
+                        if self.link.input.space() == 0 && self.ahead.grow() {
+                            self.link.look_ahead(AHEAD);
+                        }
+                    }
+                }
             }
         };
         let mut owed = Owed { until, group: None, rooms: Vec::new() };
         match answer {
-            Final::Answered(row) => {
+            Some(Final::Answered(row)) => {
                 if let Some(token) = &row.token {
                     message::notice(&mut out, "what this session has written", token);
                 }
                 out.extend(row.messages);
                 (owed.group, owed.rooms) = (Some(group), row.rooms);
             }
-            Final::Throttled(ms) => throttled(&mut out, ms),
-            Final::Failed => message::error(&mut out, false, "58000", "no server has answered", None),
+            Some(Final::Throttled(ms)) => throttled(&mut out, ms),
+            Some(Final::Failed) => message::error(&mut out, false, "58000", "no server has answered", None),
+            None => message::error(&mut out, false, "57014", "cancelled by its client", None),
         }
         self.conclude(out, Some(owed)).await
     }
@@ -398,6 +480,11 @@
         self.leave().await
     }
 
+    /// Ends the connection between commands: one that is sent from here on is left unread, as nothing would answer it.
+    async fn leave_unread(&mut self) -> io::Result<()> {
+        within(self.exchange.connect_timeout(), self.link.finish_unread()).await
+    }
+
     /// Ends the connection so that nothing the client has said is answered by a reset, up to a bound.
     async fn leave(&mut self) -> io::Result<()> {
         within(self.exchange.connect_timeout(), self.link.finish(message::LONGEST)).await
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::rc::Rc;
 
+use leverpoint_facts::Fault;
 use leverpoint_facts::node::Node;
 use leverpoint_facts::operator::Operator;
 use leverpoint_gateway::fleet::{self, Begins};
@@ -16,9 +17,14 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 
-pub fn run(node: Node, operator: Operator, log: slog::Logger) -> io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let served = LocalSet::new().block_on(&runtime, serve(node, operator, log));
+/// What the gateway is started with.
+type Read = Result<(Node, Operator), Fault>;
+
+/// Serves by what is read; a line that says why, where it can't.
+pub fn run(read: impl FnOnce() -> Read, log: slog::Logger) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    let served = LocalSet::new().block_on(&runtime, serve(read, log));
     runtime.shutdown_background();
     served
 }
@@ -52,14 +58,18 @@
     TcpListener::from_std(socket.into())
 }
 
-async fn serve(node: Node, operator: Operator, log: slog::Logger) -> io::Result<()> {
-    // Before all else: from here on none of them ends the program by itself.
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut reload = signal(SignalKind::hangup())?;
-    let mut print = signal(SignalKind::user_defined1())?;
-    let faulty = |fault: leverpoint_facts::Fault| io::Error::other(fault.to_string());
-    let listener = listen(&node, &serve::caps(&node, &operator).map_err(faulty)?)?;
-    let member = link(&node, &operator)?;
+async fn serve(read: impl FnOnce() -> Read, log: slog::Logger) -> Result<(), String> {
+    // Before all else, the configuration too: from here on none of them ends the program by itself.
+    let signals = || {
+        let hangup = signal(SignalKind::hangup())?;
+        Ok((signal(SignalKind::terminate())?, hangup, signal(SignalKind::user_defined1())?))
+    };
+    let (mut terminate, mut reload, mut print) = signals().map_err(|e: io::Error| e.to_string())?;
+    let faulty = |fault: Fault| fault.to_string();
+    let (node, operator) = read().map_err(faulty)?;
+    let caps = serve::caps(&node, &operator).map_err(faulty)?;
+    let listener = listen(&node, &caps).map_err(|e| e.to_string())?;
+    let member = link(&node, &operator).map_err(|e| e.to_string())?;
     let started = Gateway::start(node, operator, Listener::Tcp(listener), member, log);
     let gateway = Rc::new(started.map_err(faulty)?);
     let printed = gateway.clone();
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -7,13 +7,14 @@
 use std::fmt::{self, Formatter};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use leverpoint::interface::{News, Phase};
 use leverpoint_exchange::counters::add;
 use leverpoint_exchange::exchange::{Entry, Exchange};
-use leverpoint_ground::{plant, sleep, timeout};
+use leverpoint_ground::{now, plant, sleep, timeout_at};
 use serde::Deserialize;
 use serde::de::{Deserializer, SeqAccess, Visitor};
 use serde_json::Value;
@@ -21,10 +22,16 @@
 
 use crate::ring::Link;
 
-/// How long a watch may wait for news, in milliseconds: the protocol's own example.
-const WAIT_MS: u64 = 20_000;
-/// An answer counts as told so long after the wait has ended at the latest.
-const PAST_WAIT: Duration = Duration::from_secs(2);
+/// How long a watch may wait for news, in milliseconds. A change counts as told 6 s after discovery had it, whatever
+/// became of the call that should have told it: a watch that has fallen silent is given up and the whole list asked
+/// for well within that, with time for one more failure.
+const WAIT_MS: u64 = 3_000;
+/// The agent is on the gateway's own machine: what has not begun to come by then past its wait does not come.
+const PAST_WAIT: Duration = Duration::from_secs(1);
+/// A list that has begun may take as long again on a busy core, but no longer.
+const WHOLE_WITHIN: Duration = Duration::from_secs(1);
+/// After a failure so long is waited: an agent that refuses is not asked in a spin.
+const AGAIN: Duration = Duration::from_millis(250);
 /// A list of ten thousand servers is below this.
 const LONGEST: usize = 4 << 20;
 
@@ -146,10 +153,10 @@
             }
             None => ("/api/targets".to_owned(), PAST_WAIT),
         };
-        let answer = timeout(wait, agent.ask(&path)).await;
-        let answer = answer.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
+        let answer = agent.ask(&path, wait).await;
         match answer.map(|body| told(&body)) {
-            Ok(Some(told)) => {
+            // Changes where the whole list was asked for say nothing of what else there is.
+            Ok(Some(told)) if told.whole || held.is_some() => {
                 add(&exchange.counters.lists);
                 if std::mem::replace(&mut failing, false) {
                     slog::info!(log, "discovery answers again");
@@ -173,8 +180,13 @@
                     let why = failed.err().map_or("not a list".to_owned(), |e| e.to_string());
                     slog::warn!(log, "discovery failed"; "why" => why);
                 }
+                // What has changed meanwhile is not waited for: the whole list is asked for until one has come,
+                // and where a list has to be asked for, once at once.
+                if held.take().is_some() {
+                    exchange.ask_once.set(true);
+                }
                 exchange.list(News::Failed, 0, &[]);
-                sleep(exchange.connect_timeout()).await;
+                sleep(AGAIN).await;
             }
         }
     }
@@ -190,26 +202,41 @@
 }
 
 impl Agent {
-    async fn ask(&mut self, path: &str) -> io::Result<Vec<u8>> {
+    /// The answer's body: begun within `wait`, whole soon after that.
+    async fn ask(&mut self, path: &str, wait: Duration) -> io::Result<Vec<u8>> {
+        let begun = Cell::new(false);
+        let by = now() + wait;
+        let mut asking = pin!(self.ask_once_more(path, &begun));
+        match timeout_at(by, asking.as_mut()).await {
+            Ok(answer) => answer,
+            Err(_) if begun.get() => timeout_at(by + WHOLE_WITHIN, asking)
+                .await
+                .unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())),
+            Err(_) => Err(ErrorKind::TimedOut.into()),
+        }
+    }
+
+    async fn ask_once_more(&mut self, path: &str, begun: &Cell<bool>) -> io::Result<Vec<u8>> {
         let ask =
             format!("GET {path} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.address);
         // A connection kept from the last ask may have been closed meanwhile: then once more on a new one.
         if let Some(mut link) = self.link.take()
             && link.write(&[ask.as_bytes()], &Cell::new(0)).await.is_ok()
         {
-            match self.answer(link).await {
+            match self.answer(link, begun).await {
                 Err(e) if e.kind() == ErrorKind::UnexpectedEof || e.kind() == ErrorKind::ConnectionReset => {}
                 answer => return answer,
             }
         }
         let mut link = Link::connect(self.address, None).await?;
         link.write(&[ask.as_bytes()], &Cell::new(0)).await?;
-        self.answer(link).await
+        self.answer(link, begun).await
     }
 
     /// Reads an answer whole; keeps the connection where the agent does.
-    async fn answer(&mut self, mut link: Link) -> io::Result<Vec<u8>> {
+    async fn answer(&mut self, mut link: Link, begun: &Cell<bool>) -> io::Result<Vec<u8>> {
         let head = read_to(&mut link, b"\r\n\r\n").await?.to_ascii_lowercase();
+        begun.set(true);
         let mut lines = head.split("\r\n");
         let status = lines.next().unwrap_or_default();
         if !status.starts_with("http/1.") || status.split(' ').nth(1) != Some("200") {
@@ -219,9 +246,13 @@
             let mut fields = head.split("\r\n").filter_map(|line| line.split_once(':'));
             fields.find(|(n, _)| n.trim() == name).map(|(_, value)| value.trim())
         };
-        let closes = field("connection") == Some("close") || status.starts_with("http/1.0");
+        let chunked = field("transfer-encoding").is_some_and(|v| v.ends_with("chunked"));
+        let length = field("content-length");
+        // Where nothing tells its length a body runs to the close, whatever else is said of the connection.
+        let endless = !chunked && length.is_none();
+        let closes = endless || field("connection") == Some("close") || status.starts_with("http/1.0");
         let mut body = Vec::new();
-        if field("transfer-encoding").is_some_and(|v| v.ends_with("chunked")) {
+        if chunked {
             loop {
                 let line = read_to(&mut link, b"\r\n").await?;
                 let digits = line.trim_end().split(';').next().unwrap_or_default().trim();
@@ -236,21 +267,20 @@
                     break;
                 }
             }
-        } else if let Some(length) = field("content-length") {
+        } else if let Some(length) = length {
             let length = length.parse().map_err(|_| garbled())?;
             read_body(&mut link, &mut body, length).await?;
-        } else if closes {
+        } else {
             loop {
                 let there = link.input.len();
                 read_body(&mut link, &mut body, there).await?;
                 match link.read().await {
                     Ok(_) => {}
+                    // A reset is no end.
                     Err(e) if e.kind() == ErrorKind::UnexpectedEof => break,
                     Err(e) => return Err(e),
                 }
             }
-        } else {
-            return Err(garbled());
         }
         if !closes {
             self.link = Some(link);
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -91,19 +91,13 @@
         Asked::Check { file, operator } => node::from_file(&file, |_, _| None)
             .and_then(|node| comes_to(&node, &read_operator(operator)?))
             .map(|text| print!("{text}")),
-        Asked::Serve { operator, json } => match started_with(operator) {
-            Ok((node, operator)) => {
-                let log = if json {
-                    Logger::root(JsonLines.fuse(), o!())
-                } else {
-                    Logger::root(Lines.fuse(), o!())
-                };
-                let Err(e) = daemon::run(node, operator, log) else { return ExitCode::SUCCESS };
-                eprintln!("leverpoint: {e}");
-                return ExitCode::FAILURE;
-            }
-            Err(fault) => Err(fault),
-        },
+        Asked::Serve { operator, json } => {
+            let log =
+                if json { Logger::root(JsonLines.fuse(), o!()) } else { Logger::root(Lines.fuse(), o!()) };
+            let Err(why) = daemon::run(|| started_with(operator), log) else { return ExitCode::SUCCESS };
+            eprintln!("leverpoint: {why}");
+            return ExitCode::FAILURE;
+        }
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/gateway/src/message.rs
+++ b/gateway/src/message.rs
@@ -73,8 +73,8 @@
     body.iter().for_each(|part| out.extend_from_slice(part));
 }
 
-/// What a gateway says to a client that it admits.
-pub fn admitted(minor: i32) -> Vec<u8> {
+/// What a gateway says to a client that it admits; `key` is what it may cancel with.
+pub fn admitted(minor: i32, key: Option<[u8; 8]>) -> Vec<u8> {
     let mut out = Vec::new();
     if minor > 0 {
         // The newest minor version known here, and no option that was not understood.
@@ -92,6 +92,7 @@
     for (name, value) in told {
         put(&mut out, b'S', &[name.as_bytes(), b"\0", value.as_bytes(), b"\0"]);
     }
+    key.into_iter().for_each(|key| put(&mut out, b'K', &[&key]));
     ready(&mut out);
     out
 }
@@ -126,9 +127,21 @@
     out
 }
 
-/// The five-character code of an ErrorResponse.
+/// The five-character code of an ErrorResponse that is whole: fields of a letter and a text, each ended by a zero
+/// byte, and one more at the end.
 pub fn code(body: &[u8]) -> Option<&[u8]> {
-    body.split(|&b| b == 0).find(|field| field.first() == Some(&b'C')).map(|field| &field[1..])
+    let fields = body.strip_suffix(b"\0\0")?;
+    let code = |field: &[u8]| field.len() == 6 && field[1..].iter().all(u8::is_ascii_alphanumeric);
+    let mut found = None;
+    for field in fields.split(|&b| b == 0) {
+        match field.first()? {
+            b'C' if found.is_none() && code(field) => found = Some(&field[1..]),
+            b'C' => return None,
+            letter if letter.is_ascii_alphabetic() => {}
+            _ => return None,
+        }
+    }
+    found
 }
 
 /// Name and value of a ParameterStatus.
--- a/gateway/src/ring.rs
+++ b/gateway/src/ring.rs
@@ -176,9 +176,11 @@
         if self.input.space() > 0 || length <= self.input.bound {
             return Duration::ZERO;
         }
-        let bound = (2 * self.input.bound).min(length);
+        // More may stand here than the bound, where it was looked ahead.
+        let held = self.input.bound.max(self.input.len);
+        let bound = (2 * held).min(length);
         let began = now();
-        let more = peer.claim(kind, bound - self.input.bound).await;
+        let more = peer.claim(kind, bound - held).await;
         match room {
             Some(room) => room.join(more),
             None => *room = Some(more),
@@ -187,19 +189,36 @@
         since(began)
     }
 
+    /// Lets the input take so much more than stands in it.
+    pub fn look_ahead(&mut self, bytes: usize) {
+        self.input.bound = self.input.len + bytes;
+    }
+
     /// The message has been taken out; the next one begins with the usual bound.
     pub fn expect_usual(&mut self) {
         self.input.bound = BASE;
     }
 
-    /// Reads what is there now, without waiting; an end of the other side is an error.
+    /// Reads what is known to be there, without waiting; an end of the other side is an error.
     pub fn read_now(&mut self) -> io::Result<usize> {
+        self.read_by(Stream::try_read)
+    }
+
+    /// The same, and what came a moment ago as well, of which nobody has been told yet.
+    pub fn read_past(&mut self) -> io::Result<usize> {
+        self.read_by(Stream::read_past)
+    }
+
+    fn read_by(
+        &mut self,
+        read: impl Fn(&Stream, &mut [IoSliceMut<'_>]) -> io::Result<usize>,
+    ) -> io::Result<usize> {
         if self.input.space() == 0 {
             return Err(ErrorKind::WouldBlock.into());
         }
         self.input.reserve(SMALL);
         let (front, back) = self.input.free();
-        match self.stream.try_read(&mut [IoSliceMut::new(front), IoSliceMut::new(back)])? {
+        match read(&self.stream, &mut [IoSliceMut::new(front), IoSliceMut::new(back)])? {
             0 => Err(ErrorKind::UnexpectedEof.into()),
             n => {
                 self.input.len += n;
@@ -208,13 +227,14 @@
         }
     }
 
-    /// Waits for more input; with a full ring for as long as it is let, blind to the connection's end. Safe
-    /// to drop while it waits.
+    /// Waits for more input; with a full ring only for the connection's end, whatever is still unread of it.
+    /// Safe to drop while it waits.
     pub async fn read(&mut self) -> io::Result<usize> {
         self.turn().await;
         loop {
             if self.input.space() == 0 {
-                std::future::pending::<()>().await;
+                self.stream.wait_for_end().await;
+                return Err(ErrorKind::UnexpectedEof.into());
             }
             self.stream.readable().await?;
             match self.read_now() {
@@ -274,6 +294,14 @@
         Ok(())
     }
 
+    /// Tells the other side that nothing more comes, and waits for its end; what it says from here on is left unread,
+    /// so that it can tell that nobody has taken it.
+    pub async fn finish_unread(&mut self) -> io::Result<()> {
+        self.stream.finish()?;
+        self.stream.wait_for_end().await;
+        Ok(())
+    }
+
     /// Tells the other side that nothing more comes, and waits for its end, passing over what it still says,
     /// up to so much.
     pub async fn finish(&mut self, most: usize) -> io::Result<()> {
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -2,7 +2,7 @@
 //!
 //! It lets each part go on by itself and must never read what they say to each other, or know a signal or a socket.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,7 +23,7 @@
 use leverpoint_store::Writer;
 use tokio::sync::Notify;
 
-use crate::clients;
+use crate::clients::{self, House};
 use crate::copied::{self, Holders};
 use crate::discovery::{self, Whereabouts};
 use crate::fleet;
@@ -34,6 +34,14 @@
 /// After SIGTERM new connections arrive for 0.4 s at most, and a command counts as taken in time up to 0.7 s.
 const TAKES_ON: Duration = Duration::from_millis(550);
 
+/// The end comes no later than the longest client timeout, or this where that is longer, and so much more.
+const LONGEST_END: Duration = Duration::from_secs(3);
+const TAKEN_IN: Duration = Duration::from_millis(700);
+/// Before that all has been answered, connections have ended and what is said last is out.
+const LAST_WORDS: Duration = Duration::from_millis(250);
+/// A connection in the system's queue shows within this.
+const BACKLOG: Duration = Duration::from_millis(1);
+
 /// What is said last to other members is out within this time.
 const SAYS: Duration = Duration::from_millis(20);
 
@@ -43,7 +51,7 @@
     pub exchange: Rc<Exchange>,
     pub peers: Rc<Peers>,
     pub counters: Rc<Counters>,
-    leaving: Rc<Leaving>,
+    house: Rc<House>,
     agent: Rc<Whereabouts>,
     kept: Option<Rc<Writer>>,
     pub member: Option<Rc<leverpoint_link::Node>>,
@@ -122,20 +130,18 @@
         let agent = Whereabouts::new(node.discovery);
         spawn(discovery::follow(agent.clone(), exchange.clone(), log.clone()));
         let (stop, stopped) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
-        let door = Door {
-            listener,
-            descriptors,
-            peers: peers.clone(),
-            leaving: leaving.clone(),
-            exchange: exchange.clone(),
-        };
+        // Out of the third of the memory that is neither for statements nor for answers.
+        let ahead = Rc::new(Cell::new(caps.all / 8));
+        let (cancels, exchange_of, peers_of) = (Rc::default(), exchange.clone(), peers.clone());
+        let house = Rc::new(House { exchange: exchange_of, peers: peers_of, leaving, cancels, ahead });
+        let door = Door { listener, descriptors, house: house.clone(), remembers: known.is_some() };
         let (asked, told, to) = (stop.clone(), stopped.clone(), log.clone());
         let holders = copied.clone().zip(copying.map(|copying| span(copying.starts)));
         spawn(async move {
             if let Some((holders, within)) = holders {
                 let (entries, revision) =
                     known.map_or((Vec::new(), 0), |known| (known.entries, known.revision));
-                holders.recover(&door.exchange, &entries, revision, within, &to).await;
+                holders.recover(&door.house.exchange, &entries, revision, within, &to).await;
             }
             door.keep(asked, to).await;
             told.notify_one();
@@ -147,7 +153,7 @@
             exchange,
             peers,
             counters,
-            leaving,
+            house,
             agent,
             kept,
             member,
@@ -161,7 +167,8 @@
     /// Prints what is counted and how much each table holds.
     pub fn print(&self) {
         slog::info!(self.log, "counters"; "all" => self.counters.line());
-        slog::info!(self.log, "tables"; "hold" => format!("{:?}", self.exchange.tables()));
+        slog::info!(self.log, "tables"; "hold" => format!("{:?}", self.exchange.tables()),
+            "cancel_keys" => self.house.cancels.count());
         slog::info!(self.log, "peers"; "all" => self.peers.line());
         if let Some(ledger) = &self.exchange.sessions {
             slog::info!(self.log, "sessions"; "all" => ledger.line());
@@ -177,6 +184,9 @@
     /// Takes on what still comes for a moment, then ends each connection once nothing of it is open.
     pub async fn end(&self) {
         slog::info!(self.log, "ending");
+        let last = now() + self.exchange.longest_timeout().min(LONGEST_END) + TAKEN_IN - LAST_WORDS;
+        let exchange = self.exchange.clone();
+        spawn(async move { exchange.ends_by(last).await });
         if let Some(member) = &self.member {
             // Said first, so that it is out long before the process ends.
             member.leave();
@@ -184,8 +194,8 @@
         sleep(TAKES_ON).await;
         self.stop.notify_one();
         self.stopped.notified().await;
-        self.leaving.ask_all();
-        let last = now() + self.exchange.longest_timeout();
+        self.house.leaving.ask_all();
+        let last = last + LAST_WORDS / 2;
         while self.counters.clients.in_use() > 0 && now() < last {
             sleep(Duration::from_millis(5)).await;
         }
@@ -264,15 +274,23 @@
 struct Door {
     listener: Listener,
     descriptors: Rc<Descriptors>,
-    peers: Rc<Peers>,
-    leaving: Rc<Leaving>,
-    exchange: Rc<Exchange>,
+    house: Rc<House>,
+    /// A list remembered from an earlier life may name servers that drain by now, and what the agent has counts as told:
+    /// nobody is taken on before it has been asked once.
+    remembers: bool,
 }
 
 impl Door {
     /// Until it is told to stop; what the machine has accepted by then is served as well.
     async fn keep(self, stop: Rc<Notify>, log: slog::Logger) {
         let mut late = Duration::ZERO;
+        if self.remembers {
+            tokio::select! {
+                biased;
+                _ = self.house.exchange.asked() => {}
+                _ = stop.notified() => stop.notify_one(),
+            }
+        }
         loop {
             let accepted = tokio::select! {
                 biased;
@@ -282,7 +300,7 @@
             match accepted {
                 Ok(stream) => {
                     self.take_on(stream).await;
-                    let wait = self.peers.arrived(std::mem::take(&mut late));
+                    let wait = self.house.peers.arrived(std::mem::take(&mut late));
                     if !wait.is_zero() {
                         let before = now();
                         sleep(wait).await;
@@ -290,21 +308,21 @@
                     }
                 }
                 Err(e) => {
-                    add(&self.exchange.counters.clients.refused);
+                    add(&self.house.exchange.counters.clients.refused);
                     slog::warn!(log, "accepting failed"; "why" => e.to_string());
                     // Out of something that only time gives back: a pause, not a spin.
-                    sleep(self.exchange.connect_timeout()).await;
+                    sleep(self.house.exchange.connect_timeout()).await;
                 }
             }
         }
-        while let Ok(Ok(stream)) = timeout(Duration::ZERO, self.listener.accept()).await {
+        // Long enough that the system is asked once more: what it has accepted a moment ago may not be known here.
+        while let Ok(Ok(stream)) = timeout(BACKLOG, self.listener.accept()).await {
             self.take_on(stream).await;
         }
     }
 
     async fn take_on(&self, stream: Stream) {
         let (claim, stays) = self.descriptors.claim_for_client().await;
-        let (exchange, peers) = (self.exchange.clone(), self.peers.clone());
-        spawn(clients::serve(stream, exchange, peers, self.leaving.clone(), claim, stays));
+        spawn(clients::serve(stream, self.house.clone(), claim, stays));
     }
 }
--- a/gateway/src/servers.rs
+++ b/gateway/src/servers.rs
@@ -165,16 +165,28 @@
     }
 
     async fn attempt(self: &Rc<Self>, order: &Order) -> Result<Ended, Fault> {
-        let mut connection = self.write(order).await?;
+        let mut connection = tokio::select! {
+            biased;
+            written = self.write(order) => written?,
+            // A statement that is not whole never runs.
+            _ = order.not_wanted() => return Err(order.fault(Cause::NotWanted)),
+        };
         order.reached.set(Reached::Written);
         let ended = connection.answer(order, &self.peers).await?;
         if ended.reusable {
             connection.idle_since = now();
-            self.idle.borrow_mut().entry(order.server).or_default().push_back(connection);
+            self.keep(order, connection);
         }
         Ok(ended)
     }
 
+    /// For the next statement, unless its server has been let go meanwhile.
+    fn keep(&self, order: &Order, connection: Connection) {
+        if order.server_stands() {
+            self.idle.borrow_mut().entry(order.server).or_default().push_back(connection);
+        }
+    }
+
     /// Writes the statement to an idle connection or a new one. Where an idle one proves closed before
     /// anything went out, the next is taken.
     async fn write(&self, order: &Order) -> Result<Connection, Fault> {
@@ -196,10 +208,15 @@
                 Some(connection) => connection,
                 None => self.connect(order).await?,
             };
+            // A connection may have taken long to come up.
+            if !order.may_begin() {
+                self.keep(order, connection);
+                return Err(order.fault(Cause::NotWanted));
+            }
             order.reached.set(Reached::NotWritten);
             let wrote = Cell::new(0);
             match connection.link.write(&parts, &wrote).await {
-                // What is there this soon was sent before the statement came, so it is no answer to it.
+                // What was known of before was sent before the statement came, so it is no answer to it.
                 Ok(()) if reused && !connection.quiet() => {
                     order.reached.set(Reached::Written);
                     return Err(order.fault(Cause::Garbled));
@@ -216,7 +233,7 @@
         let kept = idle.get_mut(&server)?;
         while let Some(mut connection) = kept.pop_back() {
             let fresh = connection.address == address && since(connection.idle_since) < self.idle_for;
-            if fresh && connection.quiet() {
+            if fresh && connection.surely_quiet() {
                 return Some(connection);
             }
         }
@@ -300,11 +317,18 @@
         }
     }
 
-    /// Nothing has come and nothing has ended while it was idle.
+    /// Nothing is known to have come or to have ended while it was idle.
     fn quiet(&mut self) -> bool {
         matches!(self.link.read_now(), Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
+    /// Nor anything that nobody has been told of yet: asked of the system itself.
+    fn surely_quiet(&mut self) -> bool {
+        // In this order: what the runtime knew is cleared with it, or an answer that comes at once would count as
+        // there before.
+        matches!(self.link.read_past(), Err(e) if e.kind() == ErrorKind::WouldBlock) && self.quiet()
+    }
+
     /// The next message, a long one with its room where one is claimed for a peer; `coming` where it belongs to
     /// an answer.
     async fn next(&mut self, mut coming: Option<&mut Coming<'_>>) -> io::Result<(u8, Vec<u8>, Option<Room>)> {
@@ -384,6 +408,8 @@
                 (b'I', None) if order.statement.is_none() => ending = Some(Ending::Answered),
                 (b'E', None) => {
                     ending = Some(match message::code(&body) {
+                        // One that has begun to answer has run, whatever it says then.
+                        _ if !row.messages.is_empty() => Ending::Error,
                         Some(b"25006" | b"72000") => Ending::Missed,
                         Some(b"53300") => Ending::Full,
                         _ => Ending::Error,
--- a/ground/src/lib.rs
+++ b/ground/src/lib.rs
@@ -37,6 +37,8 @@
     /// A task of the process that runs just now.
     fn spawn(&self, task: Task);
     fn connect(&self, to: SocketAddr) -> Connecting;
+    /// A number that nobody in the world can guess.
+    fn unguessable(&self) -> u64;
 }
 
 thread_local! {
@@ -71,6 +73,14 @@
     }
 }
 
+/// A number that nobody can guess, from the operating system; none where it has none.
+pub fn unguessable() -> Option<u64> {
+    match world() {
+        None => getrandom::u64().ok(),
+        Some(world) => Some(world.unguessable()),
+    }
+}
+
 /// Starts a task that goes on by itself; what it panics with ends it alone.
 pub fn spawn(task: impl Future<Output = ()> + 'static) {
     match world() {
--- a/ground/src/stream.rs
+++ b/ground/src/stream.rs
@@ -2,23 +2,31 @@
 //!
 //! It must never buffer a byte of its own.
 
-use std::future::poll_fn;
-use std::io::{self, IoSlice, IoSliceMut};
+use std::future::{Future, poll_fn};
+use std::io::{self, IoSlice, IoSliceMut, Read};
 use std::net::{Shutdown, SocketAddr};
 use std::os::fd::AsRawFd;
+use std::pin::pin;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use socket2::SockRef;
+use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-use crate::world;
+use crate::{sleep, world};
+
+/// How often a connection with something unread is looked at for its end: several times in the tenth of a
+/// second after which nothing may go out for a client that has gone.
+const LOOK: Duration = Duration::from_millis(20);
 
 /// One end of a connection in a world.
 pub trait Pipe {
     fn poll_readable(&self, cx: &mut Context<'_>) -> Poll<()>;
     fn try_read(&self, to: &mut [IoSliceMut<'_>]) -> io::Result<usize>;
+    /// Whether the other side has ended or reset it, whatever of it is still unread.
+    fn ended(&self) -> bool;
     fn poll_writable(&self, cx: &mut Context<'_>) -> Poll<()>;
     fn try_write(&self, from: &[IoSlice<'_>]) -> io::Result<usize>;
     /// Nothing more is written; the other side reads the end behind what stands.
@@ -83,6 +91,29 @@
         }
     }
 
+    /// Reads what has come by now, also where nobody has been told of it yet.
+    pub fn read_past(&self, to: &mut [IoSliceMut<'_>]) -> io::Result<usize> {
+        match self {
+            Stream::Tcp(stream) => (&*SockRef::from(&**stream)).read_vectored(to),
+            Stream::World(pipe) => pipe.try_read(to),
+        }
+    }
+
+    /// Whether the other side has ended or reset it as far as is known here, whatever of it is still unread.
+    pub fn ended(&self) -> bool {
+        match self {
+            Stream::Tcp(stream) => ended(stream),
+            Stream::World(pipe) => pipe.ended(),
+        }
+    }
+
+    /// Waits until the other side has ended or reset it, and leaves unread what it has said.
+    pub async fn wait_for_end(&self) {
+        while !self.ended() {
+            sleep(LOOK).await;
+        }
+    }
+
     pub async fn writable(&self) -> io::Result<()> {
         match self {
             Stream::Tcp(stream) => stream.writable().await,
@@ -128,6 +159,15 @@
 }
 
 impl WeakStream {
+    /// Whether the other side has ended or reset it as far as is known here, or it is no more.
+    pub fn ended(&self) -> bool {
+        match self {
+            WeakStream::Tcp(stream) => stream.upgrade().is_none_or(|stream| ended(&stream)),
+            WeakStream::World(pipe) => pipe.upgrade().is_none_or(|pipe| pipe.ended()),
+            WeakStream::None => false,
+        }
+    }
+
     /// Bytes written that the other side has not acknowledged; 0 where that can't be told.
     pub fn unacknowledged(&self) -> usize {
         match self {
@@ -138,6 +178,16 @@
     }
 }
 
+/// What the runtime was last told of it: no call to the system.
+fn ended(stream: &TcpStream) -> bool {
+    let ready = pin!(stream.ready(Interest::READABLE));
+    match ready.poll(&mut Context::from_waker(Waker::noop())) {
+        Poll::Ready(Ok(ready)) => ready.is_read_closed(),
+        Poll::Ready(Err(_)) => true,
+        Poll::Pending => false,
+    }
+}
+
 fn outstanding(stream: &TcpStream) -> usize {
     let mut bytes: libc::c_int = 0;
     // SAFETY: the descriptor is open for as long as its stream is held, and the call writes one int.
--- a/sim/src/world.rs
+++ b/sim/src/world.rs
@@ -139,6 +139,8 @@
     current: Cell<Process>,
     due: RefCell<BTreeMap<(Tenths, u64), Due>>,
     next: Cell<u64>,
+    /// How many unguessable numbers were given out.
+    numbers: Cell<u64>,
     timers: RefCell<BTreeMap<u64, (Tenths, u64)>>,
     listeners: RefCell<BTreeMap<SocketAddr, Rc<Door>>>,
     pub chance: RefCell<Rng>,
@@ -168,6 +170,7 @@
             current: Cell::new(0),
             due: RefCell::default(),
             next: Cell::new(0),
+            numbers: Cell::new(0),
             timers: RefCell::default(),
             listeners: RefCell::default(),
             chance: RefCell::new(Rng::with_seed(seed)),
@@ -561,6 +564,12 @@
         self.spawn_in(self.current.get(), task);
     }
 
+    fn unguessable(&self) -> u64 {
+        // Apart from the chance that decides all else, so that a seed plays as it did.
+        let nth = self.numbers.replace(self.numbers.get() + 1);
+        Rng::with_seed(nth).u64(..)
+    }
+
     fn connect(&self, to: SocketAddr) -> Connecting {
         let knock = Rc::new(RefCell::new(Knock { from: self.current.get(), to, outcome: None, waker: None }));
         let at = self.time() + self.takes() + self.takes();
@@ -723,6 +732,11 @@
         Ok(read)
     }
 
+    fn ended(&self) -> bool {
+        let inner = self.inner.borrow();
+        inner.ended || inner.broken
+    }
+
     fn poll_writable(&self, cx: &mut Context<'_>) -> Poll<()> {
         let mut inner = self.inner.borrow_mut();
         if inner.outstanding < WINDOW || inner.broken {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -760,7 +760,7 @@
             || self.waited_enough(c)
             || c.dispatches >= self.facts.allowed.dispatches
             || (g.facts.late <= 0.0 && target_left < g.typical / 2)
-            || !self.may_go_again(c)
+            || self.now >= self.may_go_till(c)
         {
             return Seen::Hopeless;
         }
@@ -800,13 +800,13 @@
             && (self.now - c.came + 2 * self.beat()) * 2 >= c.ends - c.came
     }
 
-    /// Whether the rule on double effects lets the command be dispatched once more.
-    fn may_go_again(&self, c: &Command) -> bool {
+    /// Until when the rule on double effects lets the command be dispatched once more.
+    fn may_go_till(&self, c: &Command) -> Tenths {
         match (c.doubt, self.groups[c.group].facts.effect) {
-            (None, _) | (_, Effects::Replayable) => true,
-            (_, Effects::Mutating) => false,
+            (None, _) | (_, Effects::Replayable) => c.ends,
+            (_, Effects::Mutating) => Tenths::MIN,
             // The window runs from the first dispatch that may have run; a tick is kept in hand.
-            (Some(at), Effects::Keyed { window, .. }) => self.now - at < window - self.facts.grain,
+            (Some(at), Effects::Keyed { window, .. }) => c.ends.min(at + window - self.facts.grain),
         }
     }
 
@@ -1020,7 +1020,8 @@
         c.out.push(Out { nth: c.dispatches, server, sent: now, depth: s.in_flight });
         c.dispatches += 1;
         s.in_flight += 1;
-        out.push(Effect::Dispatch { cmd, server, timeout });
+        let by = self.may_go_till(&self.cmds[cmd]);
+        out.push(Effect::Dispatch { cmd, server, timeout, by });
     }
 
     /// At once: throttled where a repeat is surely harmless, else failed.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -256,10 +256,12 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
+    /// Not begun after `by`, when what allows it is over.
     Dispatch {
         cmd: usize,
         server: usize,
         timeout: Tenths,
+        by: Tenths,
     },
     Cancel {
         cmd: usize,
--- a/stands/src/gateway.rs
+++ b/stands/src/gateway.rs
@@ -120,6 +120,15 @@
         Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
     }
 
+    /// Stops it where it stands, until it is told to go on; returns once it has stopped.
+    pub fn stop(&self) {
+        self.signal("-STOP");
+        let status = format!("/proc/{}/status", self.child.id());
+        while !std::fs::read_to_string(&status).unwrap().contains("State:\tT") {
+            thread::yield_now();
+        }
+    }
+
     /// Ends it in order and returns what its counters say of these names.
     pub fn end(mut self, names: &[&str]) -> String {
         self.signal("-TERM");
--- a/stands/src/lib.rs
+++ b/stands/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod client;
 pub mod crowd;
 pub mod gateway;
+pub mod held;
+pub mod lease;
 pub mod member;
 pub mod pace;
 pub mod relay;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -166,7 +166,7 @@
         }
         for effect in self.effects.drain(..) {
             let said = match effect {
-                Effect::Dispatch { cmd, server, timeout } => {
+                Effect::Dispatch { cmd, server, timeout, .. } => {
                     self.sent.push((cmd, server));
                     format!("dispatch {cmd} to {server} within {} ms", timeout / MS)
                 }
