--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -39,6 +39,9 @@
 const TAKEN_IN: Duration = Duration::from_millis(700);
 /// Before that all has been answered, connections have ended and what is said last is out.
 const LAST_WORDS: Duration = Duration::from_millis(250);
+/// An agent that is there answers at once; one that is silent for so long learns nothing and tells nothing, and those
+/// who have come are not kept waiting for it.
+const ANSWERS_AT_ONCE: Duration = Duration::from_millis(300);
 /// A connection in the system's queue shows within this.
 const BACKLOG: Duration = Duration::from_millis(1);
 
@@ -134,7 +137,8 @@
         let ahead = Rc::new(Cell::new(caps.all / 8));
         let (cancels, exchange_of, peers_of) = (Rc::default(), exchange.clone(), peers.clone());
         let house = Rc::new(House { exchange: exchange_of, peers: peers_of, leaving, cancels, ahead });
-        let door = Door { listener, descriptors, house: house.clone(), remembers: known.is_some() };
+        let remembers = known.is_some() && node.opened.facts.list.pushed;
+        let door = Door { listener, descriptors, house: house.clone(), remembers };
         let (asked, told, to) = (stop.clone(), stopped.clone(), log.clone());
         let holders = copied.clone().zip(copying.map(|copying| span(copying.starts)));
         spawn(async move {
@@ -275,8 +279,8 @@
     listener: Listener,
     descriptors: Rc<Descriptors>,
     house: Rc<House>,
-    /// A list remembered from an earlier life may name servers that drain by now, and what the agent has counts as told:
-    /// nobody is taken on before it has been asked once.
+    /// A list remembered from an earlier life may name servers that drain by now. Where lists are pushed, what the agent
+    /// has counts as told from the first moment: nobody is taken on before it has been asked once.
     remembers: bool,
 }
 
@@ -289,6 +293,7 @@
                 biased;
                 _ = self.house.exchange.asked() => {}
                 _ = stop.notified() => stop.notify_one(),
+                _ = sleep(ANSWERS_AT_ONCE) => {}
             }
         }
         loop {
