--- a/gateway/src/servers.rs
+++ b/gateway/src/servers.rs
@@ -190,17 +190,6 @@
     /// Writes the statement to an idle connection or a new one. Where an idle one proves closed before
     /// anything went out, the next is taken.
     async fn write(&self, order: &Order) -> Result<Connection, Fault> {
-        let wait = format!("{}", (order.wait / 10).max(1));
-        let head;
-        let parts: Vec<&[u8]> = match &order.statement {
-            Some(statement) => {
-                let (text, at) = (&statement.text, &statement.wait_at);
-                let length = 4 + text.len() - at.len() + wait.len() + 1;
-                head = [&b"Q"[..], &(length as u32).to_be_bytes()].concat();
-                vec![&head, &text[..at.start], wait.as_bytes(), &text[at.end..], b"\0"]
-            }
-            None => vec![b"Q\0\0\0\x05\0"],
-        };
         loop {
             let idle = self.take_idle(order.server, order.address);
             let reused = idle.is_some();
@@ -213,6 +202,19 @@
                 self.keep(order, connection);
                 return Err(order.fault(Cause::NotWanted));
             }
+            // How long is waited from here on: what came up late leaves less.
+            let left = order.until.saturating_duration_since(now()).as_millis();
+            let wait = format!("{}", left.max(1));
+            let head;
+            let parts: Vec<&[u8]> = match &order.statement {
+                Some(statement) => {
+                    let (text, at) = (&statement.text, &statement.wait_at);
+                    let length = 4 + text.len() - at.len() + wait.len() + 1;
+                    head = [&b"Q"[..], &(length as u32).to_be_bytes()].concat();
+                    vec![&head, &text[..at.start], wait.as_bytes(), &text[at.end..], b"\0"]
+                }
+                None => vec![b"Q\0\0\0\x05\0"],
+            };
             order.reached.set(Reached::NotWritten);
             let wrote = Cell::new(0);
             match connection.link.write(&parts, &wrote).await {
--- a/gateway/tests/races.rs
+++ b/gateway/tests/races.rs
@@ -414,6 +414,59 @@
     assert_eq!(client.answer(), "E C58000 Z");
 }
 
+#[test]
+fn what_a_late_connection_leaves_of_the_wait_is_what_the_server_hears() {
+    let primary = Held::new();
+    let near = settings(10_000, 30_000, 5_000).replace("30000.0", "2000.0");
+    let gateway = gateway(&[(&primary.address, "read-write")], &near);
+    let mut client = gateway.client();
+    client.send(&query(&insert("order")));
+    let mut talk = primary.dialled();
+    let waits =
+        |text: &str| -> u64 { text.split(",d=").nth(1).unwrap().split(',').next().unwrap().parse().unwrap() };
+    thread::sleep(SHOWS);
+    talk.comes_up();
+    let statement = talk.statement().unwrap();
+    talk.answers(&statement, "late", "read-write");
+    assert_eq!(client.answer(), "T D late C Z");
+    // The same connection again, which is up.
+    client.send(&query(&insert("order")));
+    let next = talk.statement().unwrap();
+    talk.answers(&next, "soon", "read-write");
+    assert_eq!(client.answer(), "T D soon C Z");
+    assert!(waits(&statement) + 250 <= waits(&next).min(5_000), "{statement} {next}");
+}
+
+#[test]
+fn a_dispatch_whose_clients_timeout_ends_while_its_connection_comes_up_is_not_begun() {
+    let primary = Held::new();
+    let near = settings(10_000, 3_000, 800).replace("30000.0", "400.0");
+    let gateway = gateway(&[(&primary.address, "read-write")], &near);
+    let mut client = gateway.client();
+    client.send(&query(&insert("order")));
+    let talk = primary.dialled();
+    // Nothing was sent: it may come again.
+    assert!(client.answer().starts_with("E C53300"));
+    hears_nothing(talk);
+}
+
+#[test]
+fn a_list_that_never_ends_is_given_up_and_the_held_one_stands() {
+    let one = server("read-write", rows("one"));
+    let known = listed(7, &[("s0", &one.address, "up", "read-write")]);
+    for head in ["Content-Length: 4000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nffff\r\n", "\r\n"] {
+        let (gateway, agent) = held_gateway(&known, &usual());
+        let mut endless = agent.asked();
+        endless.says(&format!("HTTP/1.1 200 OK\r\n{head}{}", &known[..60]));
+        // It goes on and on, a byte now and then, until nobody hears it.
+        let says = thread::spawn(move || endless.goes_on(b' '));
+        let again = agent.asked();
+        assert!(again.line.starts_with("GET /api/targets HTTP"), "{}", again.line);
+        assert_eq!(gateway.client().ask(&insert("report")), "T D one C Z");
+        says.join().unwrap();
+    }
+}
+
 #[test]
 fn a_dial_that_never_comes_up_is_given_up_and_holds_nothing() {
     let (hangs, answers) = (Held::new(), server("read-only", rows("answers")));
--- a/stands/src/held.rs
+++ b/stands/src/held.rs
@@ -77,12 +77,10 @@
         self.stream.write_all(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I").is_ok()
     }
 
-    /// The next statement without the gateway's own wait; none where the connection ends first.
+    /// The next statement; none where the connection ends first.
     pub fn statement(&mut self) -> Option<String> {
         let (_, body) = message(&mut self.stream)?;
-        let text = String::from_utf8_lossy(&body[..body.len() - 1]).into_owned();
-        let Some((front, back)) = text.split_once(",d=") else { return Some(text) };
-        Some(format!("{front},d=*{}", back.trim_start_matches(|c: char| c.is_ascii_digit())))
+        Some(String::from_utf8_lossy(&body[..body.len() - 1]).into_owned())
     }
 
     pub fn answers(&mut self, statement: &str, value: &str, mode: &str) {
@@ -148,6 +146,13 @@
         self.stream.write_all(text.as_bytes()).unwrap();
     }
 
+    /// Says this byte again and again, until the other side has closed.
+    pub fn goes_on(mut self, byte: u8) {
+        while self.stream.write_all(&[byte]).is_ok() {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// Says that nothing more comes.
     pub fn ends(self) {
         self.stream.shutdown(Shutdown::Write).unwrap();
