--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -265,11 +265,10 @@
     /// Whether what it was decided by still holds, as its first byte is about to go out: the command is open and
     /// its client there, the server is listed as it was, and nothing that may run again only for a while is late.
     pub fn may_begin(&self) -> bool {
-        plant("begun-late")
-            || (!self.over.over.get()
-                && now() <= self.by
-                && !self.peer.as_ref().is_some_and(|peer| peer.has_ended())
-                && self.server_stands())
+        !self.over.over.get()
+            && now() <= self.by
+            && !self.peer.as_ref().is_some_and(|peer| peer.has_ended())
+            && self.server_stands()
     }
 
     /// Whether the server has not been drained, moved or started again since this was decided, and is not gone.
