--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -38,7 +38,7 @@
 const MOST_AHEAD: usize = message::LONGEST;
 
 /// What all clients' connections stand on.
-pub struct House {
+pub struct Shared {
     pub exchange: Rc<Exchange>,
     pub peers: Rc<Peers>,
     pub leaving: Rc<Leaving>,
@@ -124,18 +124,18 @@
 }
 
 /// Serves one connection to its end.
-pub async fn serve(stream: Stream, house: Rc<House>, claim: Claim, stays: bool) {
-    let exchange = house.exchange.clone();
+pub async fn serve(stream: Stream, shared: Rc<Shared>, claim: Claim, stays: bool) {
+    let exchange = shared.exchange.clone();
     add(&exchange.counters.clients.opened);
     let patience = exchange.longest_timeout();
     let link = Link::new(stream);
-    let peer = house.peers.enter(link.stream());
-    let (lingers, cancels) = (exchange.connect_timeout(), house.cancels.clone());
-    let (key, began, ahead) = (None, now(), Ahead { of: house.ahead.clone(), bytes: 0 });
+    let peer = shared.peers.enter(link.stream());
+    let (lingers, cancels) = (exchange.connect_timeout(), shared.cancels.clone());
+    let (key, began, ahead) = (None, now(), Ahead { of: shared.ahead.clone(), bytes: 0 });
     let mut client =
         Client { link, exchange, cancels, key, ahead, began, patience, peer, stays, lingers, _claim: claim };
     // However it ends, it ends here; what was out for it is told to the exchange by its ticket.
-    let _ = client.serve(&house.leaving).await;
+    let _ = client.serve(&shared.leaving).await;
     if client.peer.is_let_go() {
         // What stands in the kernel for it goes as well.
         client.link.discard();
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -1,4 +1,4 @@
-//! Owns a gateway as it runs: its parts put together, the door, another configuration and the orderly end.
+//! Owns a gateway as it runs: its parts put together, the acceptor, another configuration and the orderly end.
 //!
 //! It lets each part go on by itself and must never read what they say to each other, or know a signal or a socket.
 
@@ -23,7 +23,7 @@
 use leverpoint_store::Writer;
 use tokio::sync::Notify;
 
-use crate::clients::{self, House};
+use crate::clients::{self, Shared};
 use crate::copied::{self, Holders};
 use crate::discovery::{self, Whereabouts};
 use crate::fleet;
@@ -54,7 +54,7 @@
     pub exchange: Rc<Exchange>,
     pub peers: Rc<Peers>,
     pub counters: Rc<Counters>,
-    house: Rc<House>,
+    shared: Rc<Shared>,
     agent: Rc<Whereabouts>,
     kept: Option<Rc<Writer>>,
     pub member: Option<Rc<leverpoint_link::Node>>,
@@ -136,18 +136,18 @@
         // Out of the third of the memory that is neither for statements nor for answers.
         let ahead = Rc::new(Cell::new(caps.all / 8));
         let (cancels, exchange_of, peers_of) = (Rc::default(), exchange.clone(), peers.clone());
-        let house = Rc::new(House { exchange: exchange_of, peers: peers_of, leaving, cancels, ahead });
+        let shared = Rc::new(Shared { exchange: exchange_of, peers: peers_of, leaving, cancels, ahead });
         let remembers = known.is_some() && node.opened.facts.list.pushed;
-        let door = Door { listener, descriptors, house: house.clone(), remembers };
+        let acceptor = Acceptor { listener, descriptors, shared: shared.clone(), remembers };
         let (asked, told, to) = (stop.clone(), stopped.clone(), log.clone());
         let holders = copied.clone().zip(copying.map(|copying| span(copying.starts)));
         spawn(async move {
             if let Some((holders, within)) = holders {
                 let (entries, revision) =
                     known.map_or((Vec::new(), 0), |known| (known.entries, known.revision));
-                holders.recover(&door.house.exchange, &entries, revision, within, &to).await;
+                holders.recover(&acceptor.shared.exchange, &entries, revision, within, &to).await;
             }
-            door.keep(asked, to).await;
+            acceptor.run(asked, to).await;
             told.notify_one();
         });
         let operator = RefCell::new(operator);
@@ -157,7 +157,7 @@
             exchange,
             peers,
             counters,
-            house,
+            shared,
             agent,
             kept,
             member,
@@ -172,7 +172,7 @@
     pub fn print(&self) {
         slog::info!(self.log, "counters"; "all" => self.counters.line());
         slog::info!(self.log, "tables"; "hold" => format!("{:?}", self.exchange.tables()),
-            "cancel_keys" => self.house.cancels.count());
+            "cancel_keys" => self.shared.cancels.count());
         slog::info!(self.log, "peers"; "all" => self.peers.line());
         if let Some(ledger) = &self.exchange.sessions {
             slog::info!(self.log, "sessions"; "all" => ledger.line());
@@ -198,7 +198,7 @@
         sleep(TAKES_ON).await;
         self.stop.notify_one();
         self.stopped.notified().await;
-        self.house.leaving.ask_all();
+        self.shared.leaving.ask_all();
         let last = last + LAST_WORDS / 2;
         while self.counters.clients.in_use() > 0 && now() < last {
             sleep(Duration::from_millis(5)).await;
@@ -275,23 +275,23 @@
 }
 
 /// Takes on the clients that come.
-struct Door {
+struct Acceptor {
     listener: Listener,
     descriptors: Rc<Descriptors>,
-    house: Rc<House>,
+    shared: Rc<Shared>,
     /// A list remembered from an earlier life may name servers that drain by now. Where lists are pushed, what the agent
     /// has counts as told from the first moment: nobody is taken on before it has been asked once.
     remembers: bool,
 }
 
-impl Door {
+impl Acceptor {
     /// Until it is told to stop; what the machine has accepted by then is served as well.
-    async fn keep(self, stop: Rc<Notify>, log: slog::Logger) {
+    async fn run(self, stop: Rc<Notify>, log: slog::Logger) {
         let mut late = Duration::ZERO;
         if self.remembers {
             tokio::select! {
                 biased;
-                _ = self.house.exchange.asked() => {}
+                _ = self.shared.exchange.asked() => {}
                 _ = stop.notified() => stop.notify_one(),
                 _ = sleep(ANSWERS_AT_ONCE) => {}
             }
@@ -305,7 +305,7 @@
             match accepted {
                 Ok(stream) => {
                     self.take_on(stream).await;
-                    let wait = self.house.peers.arrived(std::mem::take(&mut late));
+                    let wait = self.shared.peers.arrived(std::mem::take(&mut late));
                     if !wait.is_zero() {
                         let before = now();
                         sleep(wait).await;
@@ -313,10 +313,10 @@
                     }
                 }
                 Err(e) => {
-                    add(&self.house.exchange.counters.clients.refused);
+                    add(&self.shared.exchange.counters.clients.refused);
                     slog::warn!(log, "accepting failed"; "why" => e.to_string());
                     // Out of something that only time gives back: a pause, not a spin.
-                    sleep(self.house.exchange.connect_timeout()).await;
+                    sleep(self.shared.exchange.connect_timeout()).await;
                 }
             }
         }
@@ -328,6 +328,6 @@
 
     async fn take_on(&self, stream: Stream) {
         let (claim, stays) = self.descriptors.claim_for_client().await;
-        spawn(clients::serve(stream, self.house.clone(), claim, stays));
+        spawn(clients::serve(stream, self.shared.clone(), claim, stays));
     }
 }
