--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -1,6 +1,7 @@
 //! The parsers on bytes split everywhere and on what no peer should send.
 
 use leverpoint_exchange::BASE;
+use leverpoint_gateway::discovery;
 use leverpoint_gateway::message::{self, Read};
 use leverpoint_gateway::ring::Ring;
 use leverpoint_gateway::statement;
@@ -138,3 +139,19 @@
         assert!(!matches!(read, Ok(statement::Kind::Command(_))), "cut at {at}: {read:?}");
     }
 }
+
+#[test]
+fn a_list_with_indents_is_the_same_list_and_a_truncated_one_is_none() {
+    let plain = concat!(
+        r#"{"rev":41,"all":true,"targets":[{"uid":"s0","endpoint":"127.0.0.1:6432","az":"a","pod_group":3,"#,
+        r#""state":"draining","mode":"read-only","capacity_hint":0.5,"boot_ms":7},{"uid":"s1","state":"up"}]}"#
+    );
+    let value: serde_json::Value = serde_json::from_str(plain).unwrap();
+    let indented = serde_json::to_string_pretty(&value).unwrap().replace('\n', "\r\n\t ") + "\r\n\r\n";
+    let told = discovery::told(plain.as_bytes()).unwrap();
+    assert_eq!((told.revision, told.whole, told.entries.len()), (41, true, 2));
+    assert_eq!(discovery::told(indented.as_bytes()), Some(told));
+    for cut in 0..plain.len() {
+        assert_eq!(discovery::told(&plain.as_bytes()[..cut]), None, "cut at {cut}");
+    }
+}
