Read once more: one latch for what happens once, one look ahead, one source of numbers

A flag with a notify stood three times in exchange.rs (a command over, a first list, discovery asked) and its two setters side by side three times; the check for reading ahead twice in clients.rs; numbers from the system in fleet.rs and in ground.

--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -148,17 +148,25 @@
     fn let_go(&self, server: usize);
 }
 
-/// That a command needs no dispatch any more: its client has gone, or it has its final answer.
+/// Something that happens once and can be waited for.
 #[derive(Default)]
-struct Over {
-    over: Cell<bool>,
+struct Latch {
+    is: Cell<bool>,
     told: Notify,
 }
 
-impl Over {
+impl Latch {
     fn set(&self) {
-        self.over.set(true);
-        self.told.notify_waiters();
+        if !self.is.replace(true) {
+            self.told.notify_waiters();
+        }
+    }
+
+    async fn wait(&self) {
+        let told = self.told.notified();
+        if !self.is.get() {
+            told.await;
+        }
     }
 }
 
@@ -180,7 +188,7 @@
     by: Instant,
     /// The server's number of changes as this was decided.
     changes: u64,
-    over: Rc<Over>,
+    over: Rc<Latch>,
     pub called_off: Rc<Notify>,
     pub reached: Cell<Reached>,
     /// When the row was whole.
@@ -196,7 +204,7 @@
     statement: Rc<Statement>,
     peer: Rc<Peer>,
     of: Option<Of>,
-    over: Rc<Over>,
+    over: Rc<Latch>,
     by: Tenths,
 }
 
@@ -265,7 +273,7 @@
     /// Whether what it was decided by still holds, as its first byte is about to go out: the command is open and
     /// its client there, the server is listed as it was, and nothing that may run again only for a while is late.
     pub fn may_begin(&self) -> bool {
-        !self.over.over.get()
+        !self.over.is.get()
             && now() <= self.by
             && !self.peer.as_ref().is_some_and(|peer| peer.has_ended())
             && self.server_stands()
@@ -279,10 +287,7 @@
 
     /// Waits until the command needs no dispatch any more.
     pub async fn not_wanted(&self) {
-        let told = self.over.told.notified();
-        if !self.over.over.get() {
-            told.await;
-        }
+        self.over.wait().await;
     }
 
     /// A fault as far as the dispatch has come.
@@ -367,7 +372,8 @@
     answer: Option<oneshot::Sender<Final>>,
     peer: Rc<Peer>,
     effect: Effects,
-    over: Rc<Over>,
+    /// Set with `held.over`: it needs no dispatch any more, as its client has gone or it has its final answer.
+    over: Rc<Latch>,
     dispatches: u32,
     out: Vec<(u32, Rc<Notify>)>,
     /// By what others have been told of it, and whether it may have run.
@@ -375,6 +381,13 @@
     may_have_run: bool,
 }
 
+impl Running {
+    fn is_over(&mut self) {
+        self.held.over = true;
+        self.over.set();
+    }
+}
+
 /// A command that is not given to the module yet: its holders are asked first.
 struct Waiting {
     running: Running,
@@ -436,12 +449,9 @@
     pub following: Cell<bool>,
     pub ask_once: Cell<bool>,
     pub list_wanted: Notify,
-    /// Whether any list has come, and word of the first.
-    listed: Cell<bool>,
-    first_list: Notify,
-    /// Whether discovery was asked once, and word of it.
-    asked: Cell<bool>,
-    first_asked: Notify,
+    /// A list has come; discovery was asked once.
+    listed: Latch,
+    asked: Latch,
     pub counters: Rc<Counters>,
     /// None where nothing of it is copied.
     copied: RefCell<Option<Rc<dyn Copied>>>,
@@ -516,10 +526,8 @@
             following: Cell::new(opened.facts.list.pushed),
             ask_once: Cell::new(false),
             list_wanted: Notify::new(),
-            listed: Cell::new(false),
-            first_list: Notify::new(),
-            asked: Cell::new(false),
-            first_asked: Notify::new(),
+            listed: Latch::default(),
+            asked: Latch::default(),
             opened,
             carrier: RefCell::new(None),
             copied: RefCell::new(None),
@@ -567,9 +575,7 @@
 
     /// Waits until there is a list to decide by.
     pub async fn ready(&self) {
-        if !self.listed.get() {
-            self.first_list.notified().await;
-        }
+        self.listed.wait().await;
     }
 
     pub fn connect_timeout(&self) -> Duration {
@@ -859,8 +865,7 @@
                 if running.held.over {
                     return None;
                 }
-                running.held.over = true;
-                running.over.set();
+                running.is_over();
                 running.answer = None;
                 self.counters.hung_up();
                 inner.decider.take(now, &Input::HungUp(cmd), effects);
@@ -870,9 +875,8 @@
                 let running = inner.commands.get_mut(cmd)?.as_mut()?;
                 running.held.out -= 1;
                 running.out.retain(|(n, _)| *n != nth);
-                running.held.over |= ending == Ending::Answered;
-                if running.held.over {
-                    running.over.set();
+                if ending == Ending::Answered {
+                    running.is_over();
                 }
                 let held = running.held;
                 let word = self.word(said, held.write && ending == Ending::Answered);
@@ -1054,8 +1058,7 @@
         if running.held.over {
             return;
         }
-        running.held.over = true;
-        running.over.set();
+        running.is_over();
         add(match answer {
             Final::Answered(_) => &self.counters.answered,
             Final::Throttled(_) => &self.counters.throttled,
@@ -1132,16 +1135,16 @@
             left.iter().for_each(|&server| inner.places[server].changes += 1);
         }
         self.take(Event::List(news, listed));
+        if news != News::Remembered {
+            self.asked.set();
+        }
         if news == News::Failed {
-            self.has_asked();
             // One that must be asked for is followed again once the module asks.
             self.following.set(self.opened.facts.list.pushed);
             return;
         }
-        self.listed.set(true);
-        self.first_list.notify_waiters();
+        self.listed.set();
         if news != News::Remembered {
-            self.has_asked();
             self.tell_drains();
         }
         if let Some(carrier) = self.carrier.borrow().as_ref() {
@@ -1149,17 +1152,9 @@
         }
     }
 
-    fn has_asked(&self) {
-        if !self.asked.replace(true) {
-            self.first_asked.notify_waiters();
-        }
-    }
-
     /// Waits until discovery was asked once, whatever came of it: what it can tell at a start counts from then on.
     pub async fn asked(&self) {
-        if !self.asked.get() {
-            self.first_asked.notified().await;
-        }
+        self.asked.wait().await;
     }
 
     /// Who is drained by the list as it is now, for those who come later.
--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -190,8 +190,7 @@
                     let at = now();
                     if self.link.input.is_empty() {
                         self.ahead.give_back();
-                    }
-                    if !self.link.input.is_empty() && due.is_none() {
+                    } else if due.is_none() {
                         self.peer.came(self.link.input.len());
                         due = Some(at + SHOWN_WITHIN);
                     }
@@ -383,22 +382,17 @@
                 }
             };
             tokio::pin!(ticket, cancelled);
-            if self.link.input.space() == 0 && self.ahead.grow() {
-                self.link.look_ahead(AHEAD);
-            }
             loop {
+                if self.link.input.space() == 0 && self.ahead.grow() {
+                    self.link.look_ahead(AHEAD);
+                }
                 tokio::select! {
                     biased;
                     answer = &mut ticket => break Some(answer),
                     _ = &mut cancelled => break None,
                     _ = sleep_until(until), if !plant("wait-without-end") => break Some(Final::Failed),
                     // What comes meanwhile waits in the ring; an end of the connection ends the command.
-                    read = self.link.read() => {
-                        read?;
-                        if self.link.input.space() == 0 && self.ahead.grow() {
-                            self.link.look_ahead(AHEAD);
-                        }
-                    }
+                    read = self.link.read() => { read?; }
                 }
             }
         };
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -60,16 +60,15 @@
 
 async fn serve(read: impl FnOnce() -> Read, log: slog::Logger) -> Result<(), String> {
     // Before all else, the configuration too: from here on none of them ends the program by itself.
-    let signals = || {
-        let hangup = signal(SignalKind::hangup())?;
-        Ok((signal(SignalKind::terminate())?, hangup, signal(SignalKind::user_defined1())?))
-    };
-    let (mut terminate, mut reload, mut print) = signals().map_err(|e: io::Error| e.to_string())?;
+    let failed = |e: io::Error| e.to_string();
+    let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
+    let mut reload = signal(SignalKind::hangup()).map_err(failed)?;
+    let mut print = signal(SignalKind::user_defined1()).map_err(failed)?;
     let faulty = |fault: Fault| fault.to_string();
     let (node, operator) = read().map_err(faulty)?;
     let caps = serve::caps(&node, &operator).map_err(faulty)?;
-    let listener = listen(&node, &caps).map_err(|e| e.to_string())?;
-    let member = link(&node, &operator).map_err(|e| e.to_string())?;
+    let listener = listen(&node, &caps).map_err(failed)?;
+    let member = link(&node, &operator).map_err(failed)?;
     let started = Gateway::start(node, operator, Listener::Tcp(listener), member, log);
     let gateway = Rc::new(started.map_err(faulty)?);
     let printed = gateway.clone();
--- a/gateway/src/fleet.rs
+++ b/gateway/src/fleet.rs
@@ -10,7 +10,7 @@
 use leverpoint_facts::members::Membership;
 use leverpoint_facts::node::Node;
 use leverpoint_facts::operator::Operator;
-use leverpoint_ground::{Listener, spawn, unix};
+use leverpoint_ground::{Listener, spawn, unguessable, unix};
 use leverpoint_link::node::{packed, unpacked};
 use leverpoint_link::{Fleet, Keeper, Start};
 use leverpoint_members::fellow::Event;
@@ -46,7 +46,7 @@
 /// Numbers that nobody can guess, from the operating system.
 pub fn marks() -> Box<dyn FnMut() -> u64> {
     // Where the system has none the clock stands in: two connections of one nanosecond would share a mark.
-    Box::new(|| getrandom::u64().unwrap_or_else(|_| unix().as_nanos() as u64))
+    Box::new(|| unguessable().unwrap_or_else(|| unix().as_nanos() as u64))
 }
 
 /// What the folder has of a life before.
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -135,8 +135,13 @@
         let (stop, stopped) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
         // Out of the third of the memory that is neither for statements nor for answers.
         let ahead = Rc::new(Cell::new(caps.all / 8));
-        let (cancels, exchange_of, peers_of) = (Rc::default(), exchange.clone(), peers.clone());
-        let shared = Rc::new(Shared { exchange: exchange_of, peers: peers_of, leaving, cancels, ahead });
+        let shared = Rc::new(Shared {
+            exchange: exchange.clone(),
+            peers: peers.clone(),
+            leaving,
+            cancels: Rc::default(),
+            ahead,
+        });
         let remembers = known.is_some() && node.opened.facts.list.pushed;
         let acceptor = Acceptor { listener, descriptors, shared: shared.clone(), remembers };
         let (asked, told, to) = (stop.clone(), stopped.clone(), log.clone());
