--- a/stands/src/gateway.rs
+++ b/stands/src/gateway.rs
@@ -51,12 +51,24 @@
     settings: &str,
     limits: (usize, usize),
     words: &[&str],
+) -> Gateway {
+    let servers: Vec<_> = servers.iter().map(|(s, mode)| (s.address.as_str(), *mode)).collect();
+    gateway_at(program, &servers, settings, limits, words)
+}
+
+/// The same, by the servers' addresses.
+pub fn gateway_at(
+    program: &Path,
+    servers: &[(&str, &str)],
+    settings: &str,
+    limits: (usize, usize),
+    words: &[&str],
 ) -> Gateway {
     let agent = agent();
     let targets: Vec<_> = servers
         .iter()
         .enumerate()
-        .map(|(i, (s, mode))| target(&format!("s{i}"), &s.address, "up", mode))
+        .map(|(i, (address, mode))| target(&format!("s{i}"), address, "up", mode))
         .collect();
     let address = free_address();
     let text = config(&address, &agent.address, &list(7, true, &targets), settings);
@@ -146,9 +158,15 @@
         line
     }
 
-    pub fn client(&self) -> Client {
-        let mut stream = TcpStream::connect(&self.address).unwrap();
+    /// A connection that has said nothing yet.
+    pub fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(&self.address).unwrap();
         stream.set_read_timeout(Some(LONG)).unwrap();
+        stream
+    }
+
+    pub fn client(&self) -> Client {
+        let mut stream = self.connect();
         stream.write_all(STARTUP).unwrap();
         let mut client = Client { stream };
         client.answer();
--- a/stands/src/held.rs
+++ b/stands/src/held.rs
@@ -10,6 +10,7 @@
 
 use socket2::SockRef;
 
+use crate::agent::Agent;
 use crate::wire::{LONG, READ, WRITTEN, list, message, put, row, target, unix_ms};
 
 /// A server that accepts connections and leaves all else to the test.
@@ -83,6 +84,13 @@
         Some(String::from_utf8_lossy(&body[..body.len() - 1]).into_owned())
     }
 
+    /// Answers the next statement, which it returns.
+    pub fn serves(&mut self, value: &str, mode: &str) -> String {
+        let statement = self.statement().unwrap();
+        self.answers(&statement, value, mode);
+        statement
+    }
+
     pub fn answers(&mut self, statement: &str, value: &str, mode: &str) {
         let done = if statement.starts_with("INSERT") { WRITTEN } else { READ };
         let mut out = row(value, done);
@@ -130,6 +138,11 @@
         HeldAgent { address, asks }
     }
 
+    /// As a gateway's own agent, which says nothing and tells of no ask.
+    pub fn agent(&self) -> Agent {
+        Agent { address: self.address.clone(), say: mpsc::channel().0, asked: mpsc::channel().1 }
+    }
+
     pub fn asked(&self) -> Ask {
         self.asks.recv_timeout(LONG).expect("an ask")
     }
