No cap below 1,024 on lists of processes or servers: seeds, founders, reach, layout, drains

Bounds on lists stood at 64 (seeds, founders; and again where a member takes its seeds), 512 (reach, members known), 256 (holders of a layout, names of a list of drains) and 128 (connections waiting at the link).

Change: 1,024 each; members known 2,048, as those that have gone count; a kept copy may have 128 KiB, which the largest list of drains needs (66 KiB). The longest frame of the link follows from the layout's bound. One name more is refused by its key.

--- a/copies/src/record.rs
+++ b/copies/src/record.rs
@@ -207,8 +207,8 @@
     pub drained: Vec<String>,
 }
 
-/// Names in a record, and the longest of them.
-pub const NAMES: usize = 256;
+/// Names in a record, as many as a large list of servers has, and the longest of them.
+pub const NAMES: usize = 1_024;
 pub const NAME: usize = 64;
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/facts/src/members.rs
+++ b/facts/src/members.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use leverpoint_members::layout::MOST;
 use leverpoint_members::{Tenths, Terms, card};
 use leverpoint_sessions::Keys;
 use schemars::JsonSchema;
@@ -27,7 +28,7 @@
     #[schemars(length(min = 1, max = 64), extend("x-expected" = "a name of up to 64 bytes"))]
     fleet: Option<String>,
     /// Addresses of members to begin at.
-    #[schemars(length(max = 64), extend("x-expected" = "a list of up to 64 addresses"))]
+    #[schemars(length(max = 1024), extend("x-expected" = "a list of up to 1024 addresses"))]
     seeds: Option<Vec<String>>,
     /// By member's name: where it is reached from here, where that is not the address it says.
     #[schemars(extend("x-expected" = "a map of names to addresses"))]
@@ -39,7 +40,7 @@
     #[schemars(length(min = 1, max = 64), extend("x-expected" = "a name of up to 64 bytes"))]
     machine: Option<String>,
     /// Names of the members that agree on the first layout, the same for all.
-    #[schemars(length(max = 64), extend("x-expected" = "a list of up to 64 names"))]
+    #[schemars(length(max = 1024), extend("x-expected" = "a list of up to 1024 names"))]
     founders: Option<Vec<String>>,
     /// Keys that seal what members say to each other, the one that signs first.
     #[schemars(length(min = 1, max = 16), extend("x-expected" = "a list of one to 16 keys"))]
@@ -107,8 +108,9 @@
             return Err(fault("seeds", "addresses like \"10.0.0.7:7432\""));
         }
         let reach = self.reach.clone().unwrap_or_default();
-        if reach.len() > 512 || reach.values().any(|at| address(at).is_none()) {
-            return Err(fault("reach", "up to 512 addresses like \"10.0.0.7:7432\""));
+        if reach.len() > MOST || reach.values().any(|at| address(at).is_none()) {
+            let expected = format!("up to {MOST} addresses like \"10.0.0.7:7432\"");
+            return Err(fault("reach", &expected));
         }
         let said = self.keys.as_deref().ok_or_else(|| fault("keys", "a list of one to 16 keys"))?;
         let keys = unit::keys(said).ok_or_else(|| fault("keys", "each key's number once"))?;
--- a/facts/tests/operator.rs
+++ b/facts/tests/operator.rs
@@ -88,6 +88,37 @@
     insta::assert_snapshot!(faults.join("\n"));
 }
 
+#[test]
+fn a_fleet_of_1_024_names_and_addresses_is_taken_and_one_more_names_its_key() {
+    let file = |seeds: usize, founders: usize, reach: usize| {
+        let address = |n: usize| format!("10.0.{}.{}:7432", n / 250, n % 250 + 1);
+        let seeds: Vec<_> = (0..seeds).map(|n| format!("{:?}", address(n))).collect();
+        let founders: Vec<_> = (0..founders).map(|n| format!("\"n{n}\"")).collect();
+        let reach: String = (0..reach).map(|n| format!("    n{n} = {:?}\n", address(n))).collect();
+        format!(
+            "members {{\n  listen = \"127.0.0.1:7432\"\n  fleet = \"f\"\n  keys = [\"1:{}\"]\n  seeds = [{}]\n  \
+             founders = [{}]\n  reach = {{\n{reach}  }}\n}}",
+            "0a".repeat(16),
+            seeds.join(", "),
+            founders.join(", "),
+        )
+    };
+    let member = |text: &str| read(text).and_then(|o| o.members("n0", "a", 4096).map_err(|f| f.to_string()));
+    let whole = member(&file(1_024, 1_024, 1_024)).unwrap().unwrap();
+    assert_eq!((whole.seeds.len(), whole.founders.len(), whole.reach.len()), (1_024, 1_024, 1_024));
+    assert!(whole.terms.most >= 1_024);
+    let layout = leverpoint_members::layout::Layout::founders(&whole.founders);
+    assert!(layout.sound() && layout.holders.len() == 1_024);
+    for (text, key) in [
+        (file(1_025, 1, 1), "members.seeds: expected a list of up to 1024 addresses"),
+        (file(1, 1_025, 1), "members.founders: expected a list of up to 1024 names"),
+        (file(1, 1, 1_025), "members.reach: expected up to 1024 addresses"),
+    ] {
+        let fault = member(&text).unwrap_err();
+        assert!(fault.contains(key), "{fault:.200}");
+    }
+}
+
 #[test]
 fn copies_stand_on_members_and_sessions_or_name_what_is_missing() {
     let members = "members {\n  listen = \"127.0.0.1:7432\"\n  fleet = \"hall\"\n  keys = [\"1:00112233445566778899aabbccddeeff\"]\n}\n";
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -39,7 +39,8 @@
     socket.set_nonblocking(true)?;
     let named = |e: io::Error| io::Error::new(e.kind(), format!("members.listen {}: {e}", membership.listen));
     socket.bind(&membership.listen.into()).map_err(named)?;
-    socket.listen(128)?;
+    // As many processes as a fleet may have come at once where all start together.
+    socket.listen(1024)?;
     Ok(Some(Begins { listener: Listener::Tcp(TcpListener::from_std(socket.into())?), membership }))
 }
 
--- /dev/null
+++ b/gateway/tests/bounds.rs
@@ -0,0 +1,115 @@
+//! Lists of 1,024 servers and of 1,024 processes go through whole: no bound on either lies below that. docs/gateway.md
+//! lists the bounds.
+
+use std::path::Path;
+
+use leverpoint_copies::record::{Kind, Listed, NAME, NAMES, Record, Value};
+use leverpoint_link::frame::{self, Said};
+use leverpoint_members::card::LONGEST;
+use leverpoint_members::layout::{Holder, Layout, MOST};
+use leverpoint_members::message::Goes;
+use leverpoint_members::vote::Ballot;
+use leverpoint_members::{Body, Card, Envelope, Incarnation, Rumour, Seen};
+use leverpoint_stands::gateway::{self as stands, config, free_address};
+use leverpoint_stands::held::HeldAgent;
+use leverpoint_stands::server::{rows, server};
+use leverpoint_stands::wire::{http, insert, list, select};
+
+const MANY: usize = 1_024;
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_leverpoint"))
+}
+
+const SETTINGS: &str = r#"{"balancers": 1024, "me": 1023, "tickMs": 5.0, "zone": 0, "zones": ["a"], "discovery": "pushed",
+    "contract": {"answerSlackMs": 5000.0, "coldMs": 9000.0, "fallMs": 1500.0, "fallMultiple": 2.5,
+     "startCapacity": 0.2, "stopSendingWithinMs": 500.0},
+    "familyInfo": {"guards": "reject", "listRole": "delayed", "oldestDataMs": [0.0, 0.0],
+     "readLevel": ["loose", "update"], "stamps": true, "tokens": "router"},
+    "grades": [
+     {"name": "view", "aimMs": 30000.0, "deadlineMs": 60000.0, "semantics": "pure", "worth": 1.0, "lateWorth": 1.0},
+     {"name": "report", "aimMs": 30000.0, "deadlineMs": 60000.0, "semantics": "token", "group": "cell",
+      "keyTtlMs": 3000.0, "worth": 3.0, "lateWorth": 0.5}],
+    "policyLimits": {"sendCap": 4, "retryAfter": true, "maxRetryAfterMs": 2000.0, "connectTimeoutMs": 250.0,
+     "idleCloseMs": 15000.0},
+    "tenants": [{"name": "acme", "share": 1.0, "quotaPerS": 100.0}]}"#;
+
+/// A list with a primary and its replicas, or a set for each server: (set, mode) by its number.
+fn targets(address: &str, of: impl Fn(usize) -> (usize, &'static str)) -> Vec<String> {
+    let target = |n| {
+        let (set, mode) = of(n);
+        format!(
+            r#"{{"uid":"s{n}","endpoint":"{address}","az":"a","pod_group":{set},"state":"up","mode":"{mode}"}}"#
+        )
+    };
+    (0..MANY).map(target).collect()
+}
+
+#[test]
+fn a_gateway_serves_1_024_servers_in_one_set_and_in_as_many() {
+    let primary = server("read-write", rows("one"));
+    let one = |n| (2, if n == MANY - 1 { "read-write" } else { "read-only" });
+    let many = |n| (n, "read-write");
+    for (targets, sets) in
+        [(targets(&primary.address, one), vec![2]), (targets(&primary.address, many), vec![0, 2, MANY - 1])]
+    {
+        let agent = HeldAgent::new();
+        let address = free_address();
+        // Known from the start, and said whole by the agent.
+        let text = config(&address, &agent.address, &list(7, true, &targets), SETTINGS);
+        let gateway = stands::start(&text, address, agent.agent(), program(), &[]);
+        agent.asked().says(&http(&list(8, true, &targets)));
+        assert!(agent.asked().line.contains("index=8&"));
+        let mut client = gateway.client();
+        assert_eq!(client.ask(""), "I Z");
+        for set in sets {
+            for text in [insert("report"), select("view")] {
+                let text = text.replace("cluster=2", &format!("cluster={set}"));
+                assert_eq!(client.ask(&text), "T D one C Z", "{text}");
+            }
+        }
+        gateway.counters();
+        let tables = gateway.logged("event=\"tables\"");
+        assert!(tables.contains("(\\\"servers\\\", 1024), (\\\"places\\\", 1024)"), "{tables}");
+    }
+}
+
+#[test]
+fn a_vote_on_1_024_holders_and_a_list_of_as_many_drains_fit_what_carries_them() {
+    let name = |n: usize, length: usize| format!("{n:0length$}");
+    let holder = |n| Holder {
+        name: name(n, LONGEST),
+        memory: u64::MAX,
+        machine: name(n, LONGEST),
+        zone: name(n, LONGEST),
+    };
+    let layout = |many: usize| Layout { version: 9, holders: (0..many).map(holder).collect() };
+    let card = Card {
+        name: name(1, LONGEST),
+        address: name(2, LONGEST),
+        zone: name(3, LONGEST),
+        machine: name(4, LONGEST),
+        program: name(5, LONGEST),
+        incarnation: Incarnation { life: u64::MAX, memory: u64::MAX },
+    };
+    let accept = |many| Envelope {
+        me: Rumour { card: card.clone(), count: u32::MAX, seen: Seen::Here },
+        layout: Goes { version: 8, digest: u64::MAX },
+        view: u64::MAX,
+        rumours: Vec::new(),
+        body: Body::Accept { version: 9, ballot: Ballot::default(), layout: layout(many) },
+    };
+    assert!(MOST >= MANY && accept(MOST).sound() && !accept(MOST + 1).sound());
+    assert!(frame::pack(&Said::Envelope(Box::new(accept(MOST)))).is_some());
+    let drained = |many| Record {
+        kind: Kind::List,
+        value: Value::List(Listed {
+            revision: 1,
+            at: 1,
+            drained: (0..many).map(|n| name(n, NAME)).collect(),
+        }),
+    };
+    assert!(NAMES >= MANY && drained(NAMES).sound() && !drained(NAMES + 1).sound());
+    let kept = postcard::to_stdvec(&drained(NAMES)).unwrap();
+    assert!(kept.len() + 16 <= leverpoint_store::LONGEST_COPY, "{}", kept.len());
+}
--- a/members/src/fellow.rs
+++ b/members/src/fellow.rs
@@ -227,7 +227,7 @@
     /// Addresses to begin at and to come back to; at most 64 are taken.
     pub fn set_seeds(&mut self, seeds: &[String]) {
         let mine = &self.me.card.address;
-        self.seeds = seeds.iter().filter(|seed| *seed != mine).take(64).cloned().collect();
+        self.seeds = seeds.iter().filter(|seed| *seed != mine).take(crate::layout::MOST).cloned().collect();
     }
 
     pub fn me(&self) -> &Rumour {
--- a/members/src/layout.rs
+++ b/members/src/layout.rs
@@ -20,7 +20,7 @@
 }
 
 /// Holders at most: their number goes through each vote, and a vote must fit a message.
-pub const MOST: usize = 256;
+pub const MOST: usize = 1_024;
 
 /// Holders by name, each once. Version 0 is the operators' word: the founders.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/members/src/terms.rs
+++ b/members/src/terms.rs
@@ -33,7 +33,8 @@
     asks: 3,
     patience: 3,
     spread: 3,
-    most: 512,
+    // The largest layout, and as many that have gone or wait to come in.
+    most: 2 * crate::layout::MOST,
     keeps: 36_000_000,
     settles: 20_000,
 };
--- a/store/src/frame.rs
+++ b/store/src/frame.rs
@@ -21,8 +21,8 @@
 
 /// A body's longest.
 pub const LONGEST: usize = 255;
-/// A copy's longest.
-pub const LONGEST_COPY: usize = 1 << 16;
+/// A copy's longest: a list's, of 1,024 names of 64 bytes, takes 66 KiB.
+pub const LONGEST_COPY: usize = 1 << 17;
 const HEAD: usize = 2;
 /// The kind of a copy, whose length takes four bytes.
 const COPY: u8 = 6;
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -11,6 +11,6 @@
 mod writer;
 
 pub use disk::{Disk, Folder};
-pub use frame::{Item, LONGEST, Parsed, parse, put};
+pub use frame::{Item, LONGEST, LONGEST_COPY, Parsed, parse, put};
 pub use log::{ALL, Limits, Recovered, Store, Torn};
 pub use writer::{Kept, Writer};
