What a client's own system held back counts from when the ring was full

Followed: on n102 was stamped at 26.818 s and its client left at 27.428 with d=668, so it had been sent by 26.71. Its connection had sent values of 130 KB; the ring and the system here were full, the client's own system held the rest back, and a read of less than was asked for made it look as if it had only come then (ring.rs, read_by). Ruled out: answers past their time (none of 292,363 answered), connections that the gateway ended (all 23,870 ended with their clients).

Change: once a ring has taken no more, what comes counts from then, until nothing has come for 5 ms.

Measured: what_the_systems_held_back... with 240 KB behind a command fails without it (d=2989 of 3000, 2600 at most is left).

--- a/gateway/src/ring.rs
+++ b/gateway/src/ring.rs
@@ -148,12 +148,13 @@
     stamps: Option<Stamps>,
 }
 
-/// A connection that is watched: until it is dropped nothing stands unread on it.
-struct Watch<'a>(&'a mut Option<Stamps>);
+/// A connection that is watched, since when: until it is dropped nothing stands unread on it.
+struct Watch<'a>(&'a mut Option<Stamps>, Instant);
 
 impl Drop for Watch<'_> {
     fn drop(&mut self) {
-        self.0.iter_mut().for_each(|stamps| stamps.empty(now()));
+        let at = now();
+        self.0.iter_mut().for_each(|stamps| stamps.empty(at, at.saturating_duration_since(self.1)));
     }
 }
 
@@ -211,7 +212,12 @@
             None => *room = Some(more),
         }
         self.input.bound = bound;
-        since(began)
+        let waited = since(began);
+        if !waited.is_zero() {
+            // Nothing was read meanwhile.
+            self.stamps.iter_mut().for_each(Stamps::full);
+        }
+        waited
     }
 
     /// Lets the input take so much more than stands in it.
@@ -251,7 +257,7 @@
             }
             // Less than was asked for is all there was.
             if !matches!(read, Ok(n) if n == space) {
-                stamps.empty(now());
+                stamps.empty(now(), Duration::ZERO);
             }
         }
         match read? {
@@ -272,7 +278,7 @@
         match poll_once(readable.as_mut()).await {
             Some(readable) => readable,
             None => {
-                let _watched = Watch(&mut self.stamps);
+                let _watched = Watch(&mut self.stamps, now());
                 readable.await
             }
         }
@@ -284,6 +290,7 @@
         self.turn().await;
         loop {
             if self.input.space() == 0 {
+                self.stamps.iter_mut().for_each(Stamps::full);
                 self.stream.wait_for_end().await;
                 return Err(ErrorKind::UnexpectedEof.into());
             }
@@ -312,6 +319,9 @@
     async fn writable(&mut self) -> io::Result<()> {
         let stream = self.stream.clone();
         let mut writable = pin!(stream.writable());
+        if self.input.space() == 0 {
+            self.stamps.iter_mut().for_each(Stamps::full);
+        }
         while self.stamps.is_some() && self.input.space() > 0 {
             tokio::select! {
                 biased;
--- a/gateway/src/stamps.rs
+++ b/gateway/src/stamps.rs
@@ -4,9 +4,14 @@
 //! It must never take a byte for younger than it is; a few that came one after the other may count as come with the first.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use leverpoint_ground::Instant;
 
+/// A way there and back between data centres, twice over: what a client's own system held back, as the ring and the
+/// system here took no more, has begun to come within this once there is room.
+const ROUND: Duration = Duration::from_millis(5);
+
 /// More pieces than usual clients have on their way at once; past it neighbours count as one.
 const MOST: usize = 64;
 
@@ -17,22 +22,26 @@
     came: VecDeque<(u64, Instant)>,
     /// When nothing stood unread for the last time that is known of: what is read has come since.
     empty: Instant,
+    /// The ring took no more since then, so that the client's system may hold back what it has sent as well.
+    full: bool,
 }
 
 impl Stamps {
     /// Nothing has come before `at`.
     pub fn new(at: Instant) -> Self {
-        Stamps { read: 0, came: VecDeque::new(), empty: at }
+        Stamps { read: 0, came: VecDeque::new(), empty: at, full: false }
     }
 
-    /// By now nothing stands unread.
-    pub fn empty(&mut self, at: Instant) {
-        self.empty = at;
+    /// By now nothing stands unread, and it has been so for that long.
+    pub fn empty(&mut self, at: Instant, quiet: Duration) {
+        if !self.full || quiet >= ROUND {
+            (self.empty, self.full) = (at, false);
+        }
     }
 
-    /// Since when something may stand unread.
-    pub fn since(&self) -> Instant {
-        self.empty
+    /// The ring takes no more.
+    pub fn full(&mut self) {
+        self.full = true;
     }
 
     /// So many bytes were read.
--- a/gateway/tests/pipelined.rs
+++ b/gateway/tests/pipelined.rs
@@ -97,12 +97,12 @@
 }
 
 #[test]
-fn what_stood_in_the_system_behind_a_full_ring_counts_from_when_it_came_too() {
+fn what_the_systems_held_back_behind_a_full_ring_counts_from_when_the_ring_was_full() {
     let primary = Held::new();
     let gateway = gateway(&[(&primary.address, "read-write")], 3_000, 1024);
     let mut client = gateway.client();
-    // More than is read ahead, though less than the system takes beside it, and no command of it.
-    let long = query(&format!("VACUUM {}", "a".repeat(80_000)));
+    // More than is read ahead and than the system takes beside it, so that the client's own holds back the rest.
+    let long = query(&format!("VACUUM {}", "a".repeat(120_000)));
     let all = [query(&insert("report")), long.clone(), long, query(&insert("order"))].concat();
     let mut writer = client.stream.try_clone().unwrap();
     let sent = thread::spawn(move || writer.write_all(&all));
