--- a/gateway/tests/pipelined.rs
+++ b/gateway/tests/pipelined.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use leverpoint_gateway::stamps::Stamps;
 use leverpoint_stands::client::Client;
 use leverpoint_stands::gateway::{self as stands, Gateway, config, free_address};
 use leverpoint_stands::held::{Held, HeldAgent, listed};
@@ -318,3 +319,46 @@
     assert_eq!(many[0].answer(), "T D one C Z", "{statement}");
     assert!(talks[0].statement().is_some_and(|next| next != statement));
 }
+
+#[test]
+fn no_byte_is_ever_taken_for_younger_than_it_is_however_many_pieces_it_came_in() {
+    let began = leverpoint_ground::now();
+    for seed in 0..200 {
+        let mut chance = fastrand::Rng::with_seed(seed);
+        let mut stamps = Stamps::new(began);
+        // When each byte came in truth, and how many of them were taken out.
+        let mut came: Vec<leverpoint_ground::Instant> = Vec::new();
+        let (mut taken, mut at, mut worst) = (0, began, Duration::ZERO);
+        for _ in 0..1_000 {
+            let quiet = Duration::from_millis(chance.u64(0..8));
+            at += quiet;
+            match chance.u8(0..8) {
+                // A wait that ends with something to read, up to far more pieces than are told apart.
+                0..5 => {
+                    stamps.empty(at, quiet);
+                    let bytes = chance.usize(1..40);
+                    stamps.read(bytes);
+                    came.extend(vec![at; bytes]);
+                }
+                // The ring is full while more comes, and the client's system holds back more yet.
+                5 => {
+                    stamps.full();
+                    let bytes = chance.usize(1..40);
+                    came.extend(vec![at; bytes]);
+                    at += Duration::from_millis(chance.u64(0..50));
+                    stamps.empty(at, Duration::ZERO);
+                    stamps.read(bytes);
+                }
+                _ if taken < came.len() => {
+                    taken += chance.usize(1..=came.len() - taken);
+                    let told = stamps.taken(came.len() - taken);
+                    assert!(told <= came[taken - 1], "seed {seed}");
+                    worst = worst.max(came[taken - 1] - told);
+                }
+                _ => {}
+            }
+        }
+        // Nor for much older, but by what stood behind a full ring or was merged.
+        assert!(worst < Duration::from_secs(3), "seed {seed}: {worst:?}");
+    }
+}
