A ring that fills while an answer is written counts as full too

Cause: found on reading the change once more. Link::writable told the stamps of a full ring before it read ahead, not after, so what filled it meanwhile went untold, and what the client's own system then held back could count as come later than it had. The check stands behind the loop now, once. No test forces it. Measured: the gateway's tests pass.

--- a/gateway/src/ring.rs
+++ b/gateway/src/ring.rs
@@ -319,9 +319,6 @@
     async fn writable(&mut self) -> io::Result<()> {
         let stream = self.stream.clone();
         let mut writable = pin!(stream.writable());
-        if self.input.space() == 0 {
-            self.stamps.iter_mut().for_each(Stamps::full);
-        }
         while self.stamps.is_some() && self.input.space() > 0 {
             tokio::select! {
                 biased;
@@ -335,6 +332,9 @@
                 Err(_) => break,
             }
         }
+        if self.input.space() == 0 {
+            self.stamps.iter_mut().for_each(Stamps::full);
+        }
         writable.await
     }
 
