Read once more: one look past what is known, no type for a query's end, shared test waits

Need: the look at what stands in the system was written four times in clients.rs, and a query's end had a type and two wrappers for one case. Change: Client::read_past serves all four; sent_back says that the connection ends. An interrupted look is tried again. until_counted and wait_of stand in stands/, for races.rs and pipelined.rs. fellow.rs says how many seeds it takes as it does.

--- a/gateway/src/clients.rs
+++ b/gateway/src/clients.rs
@@ -92,6 +92,8 @@
     peer: Rc<Peer>,
     /// Else there is no room for one more, and its first command is sent back untouched.
     stays: bool,
+    /// It was told so, and nothing more of it is here.
+    sent_back: bool,
     /// How long such a one is waited for.
     lingers: Duration,
     _claim: Claim,
@@ -106,14 +108,6 @@
     rooms: Vec<Room>,
 }
 
-/// What comes after a query's answer.
-#[derive(PartialEq)]
-enum After {
-    Next,
-    /// The connection was left with it.
-    Leaves,
-}
-
 /// What a wait for more of a message has come to.
 enum Came {
     Bytes,
@@ -143,8 +137,21 @@
     let peer = shared.peers.enter(link.stream());
     let (lingers, cancels) = (exchange.connect_timeout(), shared.cancels.clone());
     let (key, began, ahead) = (None, now(), Ahead { of: shared.ahead.clone(), bytes: 0 });
-    let mut client =
-        Client { link, exchange, cancels, key, ahead, began, patience, peer, stays, lingers, _claim: claim };
+    let sent_back = false;
+    let mut client = Client {
+        link,
+        exchange,
+        cancels,
+        key,
+        ahead,
+        began,
+        patience,
+        peer,
+        stays,
+        sent_back,
+        lingers,
+        _claim: claim,
+    };
     // However it ends, it ends here; what was out for it is told to the exchange by its ticket.
     let _ = client.serve(&shared.leaving).await;
     if client.peer.is_let_go() {
@@ -168,10 +175,7 @@
     async fn serve(&mut self, leaving: &Leaving) -> io::Result<()> {
         let began = self.began;
         // What had come before it was taken on is known from here on to have.
-        match self.link.read_past() {
-            Err(e) if !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => return Err(e),
-            _ => {}
-        }
+        self.read_past()?;
         let admitted = tokio::select! {
             biased;
             admitted = timeout_at(began + SHOWN_WITHIN, self.admit()) => admitted,
@@ -213,20 +217,12 @@
                         },
                         Came::NoRoom => return self.part("53300", "no room for the message").await,
                         Came::LetGo => return self.part("08P01", "too slow, and room is short").await,
-                        Came::Leave => match self.link.read_past() {
-                            // Heard just in time; a wait for its end is not one of the client's.
-                            Ok(_) => continue,
-                            Err(e) if e.kind() == ErrorKind::WouldBlock => return self.leave_unread().await,
-                            Err(e) => return Err(e),
-                        },
+                        // Heard just in time; a wait for its end is not one of the client's.
+                        Came::Leave if self.read_past()? => continue,
+                        Came::Leave => return self.leave_unread().await,
                         // What it asks may be here or on its way: it is sent back then, rather than cut off.
                         Came::MakeRoom => {
-                            let came = match self.link.read_past() {
-                                Ok(_) => true,
-                                Err(e) if e.kind() == ErrorKind::WouldBlock => false,
-                                Err(e) => return Err(e),
-                            };
-                            if !came && since(began) >= YOUNG {
+                            if !self.read_past()? && since(began) >= YOUNG {
                                 return Ok(());
                             }
                             (self.stays, self.lingers) = (false, YOUNG);
@@ -251,7 +247,8 @@
                 _ if skipping => {}
                 b'Q' => {
                     let came = self.link.came();
-                    if self.query(body, came, room).await? == After::Leaves {
+                    self.query(body, came, room).await?;
+                    if self.sent_back {
                         return self.leave_unread().await;
                     }
                 }
@@ -347,6 +344,17 @@
         }
     }
 
+    /// Reads what stands in the system for it; whether there was anything.
+    fn read_past(&mut self) -> io::Result<bool> {
+        loop {
+            match self.link.read_past() {
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
+                read => return read.map(|_| true),
+            }
+        }
+    }
+
     /// Waits, and reads meanwhile what the client sends ahead; its end ends the wait.
     async fn hears<F: Future>(&mut self, mut wait: Pin<&mut F>) -> io::Result<F::Output> {
         loop {
@@ -361,12 +369,12 @@
         }
     }
 
-    async fn query(&mut self, mut body: Vec<u8>, came: Instant, _room: Option<Room>) -> io::Result<After> {
+    async fn query(&mut self, mut body: Vec<u8>, came: Instant, _room: Option<Room>) -> io::Result<()> {
         if body.pop() != Some(0) || body.contains(&0) {
-            return self.refuses("08P01", "a query must end with its only zero byte").await;
+            return self.refuse("08P01", "a query must end with its only zero byte", true).await;
         }
         let Ok(text) = std::str::from_utf8(&body) else {
-            return self.refuses("22021", "a query must be UTF-8").await;
+            return self.refuse("22021", "a query must be UTF-8", true).await;
         };
         let mut out = Vec::new();
         let said = match statement::read(text) {
@@ -374,41 +382,32 @@
                 // A front asks in this way whether to send clients here.
                 let exchange = self.exchange.clone();
                 if self.hears(pin!(timeout(self.patience, exchange.ready()))).await?.is_err() {
-                    return self.refuses("57P03", "no list of servers yet").await;
+                    return self.refuse("57P03", "no list of servers yet", true).await;
                 }
                 message::put(&mut out, b'I', &[]);
-                return self.concludes(out, None).await;
+                return self.conclude(out, None).await;
             }
             Ok(Kind::Session(word)) => {
                 message::put(&mut out, b'C', &[word.as_bytes(), b"\0"]);
-                return self.concludes(out, None).await;
+                return self.conclude(out, None).await;
             }
             Ok(Kind::Command(said)) => said,
-            Err((code, why)) => return self.refuses(code, &why).await,
+            Err((code, why)) => return self.refuse(code, &why, true).await,
         };
         if !self.stays {
             add(&self.exchange.counters.clients.refused);
             // What stands behind it is here as well, and is owed an answer of its own.
-            let last = self.link.input.is_empty()
-                && match self.link.read_past() {
-                    Ok(_) => false,
-                    Err(e) if e.kind() == ErrorKind::WouldBlock => true,
-                    Err(e) => return Err(e),
-                };
-            message::error(&mut out, last, "53300", "too many connections", None);
-            if !last {
-                return self.concludes(out, None).await;
-            }
-            self.write(&out).await?;
-            return Ok(After::Leaves);
+            self.sent_back = self.link.input.is_empty() && !self.read_past()?;
+            message::error(&mut out, self.sent_back, "53300", "too many connections", None);
+            return if self.sent_back { self.write(&out).await } else { self.conclude(out, None).await };
         }
         assert!(!(plant("panic") && text.contains("c=history")), "planted");
         let ticket = match self.exchange.arrived(&said, text, came, &self.peer) {
             Ok(ticket) => ticket,
-            Err(Refused::Bad(code, why)) => return self.refuses(code, &why).await,
+            Err(Refused::Bad(code, why)) => return self.refuse(code, &why, true).await,
             Err(Refused::Throttled(ms, until)) => {
                 throttled(&mut out, ms);
-                return self.concludes(out, Some(Owed { until, group: None, rooms: Vec::new() })).await;
+                return self.conclude(out, Some(Owed { until, group: None, rooms: Vec::new() })).await;
             }
         };
         drop(body);
@@ -446,15 +445,7 @@
             Some(Final::Failed) => message::error(&mut out, false, "58000", "no server has answered", None),
             None => message::error(&mut out, false, "57014", "cancelled by its client", None),
         }
-        self.concludes(out, Some(owed)).await
-    }
-
-    async fn concludes(&mut self, out: Vec<u8>, owed: Option<Owed>) -> io::Result<After> {
-        self.conclude(out, owed).await.map(|()| After::Next)
-    }
-
-    async fn refuses(&mut self, code: &str, why: &str) -> io::Result<After> {
-        self.refuse(code, why, true).await.map(|()| After::Next)
+        self.conclude(out, Some(owed)).await
     }
 
     /// What belongs to no command is owed for as long as its client may take to show itself.
--- a/gateway/tests/pipelined.rs
+++ b/gateway/tests/pipelined.rs
@@ -11,7 +11,7 @@
 use leverpoint_stands::gateway::{self as stands, Gateway, config, free_address};
 use leverpoint_stands::held::{Held, HeldAgent, listed};
 use leverpoint_stands::server::{Does, heard, rows, server, waits};
-use leverpoint_stands::wire::{LONG, STARTUP, http, insert, query};
+use leverpoint_stands::wire::{STARTUP, http, insert, query, wait_of};
 
 /// Long enough that what a fault would do shows; what has to happen is waited for as an event.
 const SHOWS: Duration = Duration::from_millis(300);
@@ -45,23 +45,6 @@
     stands::gateway_at(program(), servers, &settings(timeout), (192, sockets), &[])
 }
 
-/// Waits until the counters say so.
-fn until_counted(gateway: &Gateway, what: &str) {
-    let began = Instant::now();
-    loop {
-        let counters = gateway.counters();
-        if counters.contains(&format!(" {what} ")) {
-            return;
-        }
-        assert!(began.elapsed() < LONG, "{what}: {counters}");
-    }
-}
-
-/// How long the gateway waits, as a server hears it, in milliseconds.
-fn wait_of(statement: &str) -> u64 {
-    statement.split(",d=").nth(1).unwrap().split(',').next().unwrap().parse().unwrap()
-}
-
 #[test]
 fn a_command_behind_another_goes_out_with_what_its_client_has_left() {
     let primary = Held::new();
@@ -282,7 +265,7 @@
     let row = [query(&insert("order")), query(&insert("order")), much].concat();
     // It may be told of the end before it has said all.
     let sent = thread::spawn(move || drop(writer.write_all(&row)));
-    until_counted(&gateway, "bad_messages=1");
+    gateway.until_counted("bad_messages=1");
     thread::sleep(2 * Duration::from_millis(400));
     assert_eq!(client.answer(), "T D of 65536 bytes C Z");
     assert_eq!(client.answer(), "T D of 53248 bytes C Z");
@@ -313,7 +296,7 @@
     goes.send(&row()[..8_000]);
     talks.push(primary.up());
     drop(goes);
-    until_counted(&gateway, "gone=1");
+    gateway.until_counted("gone=1");
     // Whoever is first answered goes on.
     let statement = talks[0].serves("one", "read-write");
     assert_eq!(many[0].answer(), "T D one C Z", "{statement}");
--- a/gateway/tests/races.rs
+++ b/gateway/tests/races.rs
@@ -13,7 +13,7 @@
 use leverpoint_stands::held::{Held, HeldAgent, Talk, listed};
 use leverpoint_stands::server::{Does, Server, heard, rows, server, waits};
 use leverpoint_stands::wire::{
-    LONG, READ, STARTUP, WRITTEN, http, insert, list, put, query, row, select, target,
+    LONG, READ, STARTUP, WRITTEN, http, insert, list, put, query, row, select, target, wait_of,
 };
 
 /// Long enough that what a fault would do shows; what has to happen is waited for as an event.
@@ -64,18 +64,6 @@
     (stands::start(&text, address, held.agent(), program(), &[]), held)
 }
 
-/// Waits until the counters say so.
-fn until_counted(gateway: &Gateway, what: &str) {
-    let began = Instant::now();
-    loop {
-        let counters = gateway.counters();
-        if counters.contains(&format!(" {what} ")) {
-            return;
-        }
-        assert!(began.elapsed() < LONG, "{what}: {counters}");
-    }
-}
-
 /// A client with its key to cancel by.
 fn keyed(gateway: &Gateway) -> (Client, [u8; 8]) {
     let mut stream = gateway.connect();
@@ -246,7 +234,7 @@
     client.send(&many);
     let talk = primary.dialled();
     drop(client);
-    until_counted(&gateway, "gone=1");
+    gateway.until_counted("gone=1");
     hears_nothing(talk);
     assert!(!primary.dialled_within(SHOWS), "nothing of the rest is sent on");
     assert!(gateway.counters().contains("taken.report=1 "));
@@ -265,7 +253,7 @@
     talk.answers("INSERT", "late", "read-write");
     drop(client);
     gateway.signal("-CONT");
-    until_counted(&gateway, "clients.closed=1");
+    gateway.until_counted("clients.closed=1");
     talk.stream.set_read_timeout(Some(SHOWS)).unwrap();
     assert_eq!(
         talk.stream.read(&mut [0; 1]).unwrap_err().kind(),
@@ -289,7 +277,7 @@
         } else {
             drop(client);
         }
-        until_counted(&gateway, "gone=1");
+        gateway.until_counted("gone=1");
         hears_nothing(talk);
         assert!(gateway.counters().contains("ended.NotSent=1 "));
     }
@@ -324,7 +312,7 @@
     trace += &format!("another's: {}\n", other.ask(&insert("report")));
     go.send(()).unwrap();
     drop(one);
-    until_counted(&gateway, "clients.closed=7");
+    gateway.until_counted("clients.closed=7");
     cancel(&gateway, key);
     trace += &format!("after the key's connection: {}\n", other.ask(&insert("report")));
     drop(other);
@@ -342,7 +330,7 @@
     let mut late = gateway.connect();
     let packet = [&b"\0\0\0\x10\x04\xd2\x16\x2e"[..], &key].concat();
     late.write_all(&packet[..15]).unwrap();
-    until_counted(&gateway, "clients.opened=2");
+    gateway.until_counted("clients.opened=2");
     thread::sleep(SHOWS);
     assert_eq!(client.ask(&insert("report")), "T D first C Z");
     heard(&primary);
@@ -402,8 +390,6 @@
     let mut client = gateway.client();
     client.send(&query(&insert("order")));
     let mut talk = primary.dialled();
-    let waits =
-        |text: &str| -> u64 { text.split(",d=").nth(1).unwrap().split(',').next().unwrap().parse().unwrap() };
     thread::sleep(SHOWS);
     talk.comes_up();
     let statement = talk.serves("late", "read-write");
@@ -412,7 +398,7 @@
     client.send(&query(&insert("order")));
     let next = talk.serves("soon", "read-write");
     assert_eq!(client.answer(), "T D soon C Z");
-    assert!(waits(&statement) + 250 <= waits(&next).min(5_000), "{statement} {next}");
+    assert!(wait_of(&statement) + 250 <= wait_of(&next).min(5_000), "{statement} {next}");
 }
 
 #[test]
@@ -580,7 +566,7 @@
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
-    until_counted(&gateway, "clients.closed=200");
+    gateway.until_counted("clients.closed=200");
     // Whatever was begun for them has been let go without a statement.
     let mut begun = 0;
     honest.send(&query(&insert("report")));
@@ -599,7 +585,7 @@
     let gone = gateway.counters();
     assert_eq!(stands::counted(&gone, "failed"), Some("0"));
     drop(honest);
-    until_counted(&gateway, "clients.closed=201");
+    gateway.until_counted("clients.closed=201");
     gateway.signal("-USR1");
     let tables = gateway.logged("event=\"tables\"");
     assert!(tables.contains("\\\"open_ids\\\", 0") && tables.contains("cancel_keys=\"0\""), "{tables}");
@@ -686,7 +672,7 @@
     let mut client = gateway.client();
     client.send(&query(&insert("report")));
     heard(&primary);
-    until_counted(&gateway, "answered=1");
+    gateway.until_counted("answered=1");
     gateway.signal("-TERM");
     assert!(gateway.child.wait().unwrap().success());
     assert_eq!(client.answer(), "T D of 65536 bytes C Z");
--- a/members/src/fellow.rs
+++ b/members/src/fellow.rs
@@ -224,7 +224,7 @@
         }
     }
 
-    /// Addresses to begin at and to come back to; at most 64 are taken.
+    /// Addresses to begin at and to come back to; at most as many as a layout has holders are taken.
     pub fn set_seeds(&mut self, seeds: &[String]) {
         let mine = &self.me.card.address;
         self.seeds = seeds.iter().filter(|seed| *seed != mine).take(crate::layout::MOST).cloned().collect();
--- a/stands/src/gateway.rs
+++ b/stands/src/gateway.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{self, Receiver};
 use std::thread;
+use std::time::Instant;
 
 use crate::agent::{Agent, agent};
 use crate::client::Client;
@@ -141,6 +142,18 @@
         }
     }
 
+    /// Waits until the counters say so.
+    pub fn until_counted(&self, what: &str) {
+        let began = Instant::now();
+        loop {
+            let counters = self.counters();
+            if counters.contains(&format!(" {what} ")) {
+                return;
+            }
+            assert!(began.elapsed() < LONG, "{what}: {counters}");
+        }
+    }
+
     /// Ends it in order and returns what its counters say of these names.
     pub fn end(mut self, names: &[&str]) -> String {
         self.signal("-TERM");
--- a/stands/src/wire.rs
+++ b/stands/src/wire.rs
@@ -80,6 +80,11 @@
     format!("INSERT INTO records (k, v) VALUES ('7f3a', '\\x9f') RETURNING v {}", comment(group))
 }
 
+/// How long the gateway waits, as a server hears it, in milliseconds.
+pub fn wait_of(statement: &str) -> u64 {
+    statement.split(",d=").nth(1).unwrap().split(',').next().unwrap().parse().unwrap()
+}
+
 pub fn query(text: &str) -> Vec<u8> {
     let mut out = Vec::new();
     put(&mut out, b'Q', format!("{text}\0").as_bytes());
