Log and count what discovery answers: refusals, time-outs, list age, who drains

Need: a gateway logged its first failed call and then nothing, so neither the outcome of the calls nor the age of the list could be read from a log.

Change: each list that changes something is logged with its revision and who drains or is gone (sixteen names at most); the first failure of a row is logged, then each time their number has doubled, with the call, how long it took, the revision held and the list's age; the end of a row says how many calls failed and for how long. Counters list_refusals and list_timeouts beside list_failures.

--- a/exchange/src/counters.rs
+++ b/exchange/src/counters.rs
@@ -31,7 +31,10 @@
     pub clients: Connections,
     pub servers: Connections,
     pub lists: Count,
+    /// Calls for lists that failed; of them, those that discovery turned away and those that it never answered.
     pub list_failures: Count,
+    pub list_refusals: Count,
+    pub list_timeouts: Count,
     pub bad_messages: Count,
 }
 
@@ -91,6 +94,8 @@
             ("dispatched", &self.dispatched),
             ("lists", &self.lists),
             ("list_failures", &self.list_failures),
+            ("list_refusals", &self.list_refusals),
+            ("list_timeouts", &self.list_timeouts),
             ("bad_messages", &self.bad_messages),
         ];
         for (name, count) in finals {
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -14,7 +14,7 @@
 use leverpoint::interface::{News, Phase};
 use leverpoint_exchange::counters::add;
 use leverpoint_exchange::exchange::{Entry, Exchange};
-use leverpoint_ground::{now, plant, sleep, timeout_at};
+use leverpoint_ground::{Instant, now, plant, since, sleep, timeout_at};
 use serde::Deserialize;
 use serde::de::{Deserializer, SeqAccess, Visitor};
 use serde_json::Value;
@@ -139,7 +139,7 @@
 async fn follow_at(agent: SocketAddr, exchange: &Rc<Exchange>, log: &slog::Logger) {
     let mut agent = Agent { address: agent, link: None };
     let mut held: Option<u64> = None;
-    let mut failing = false;
+    let mut record = CallRecord::new(log.clone());
     loop {
         if !exchange.following.get() && !exchange.ask_once.take() {
             exchange.list_wanted.notified().await;
@@ -153,14 +153,13 @@
             }
             None => ("/api/targets".to_owned(), PAST_WAIT),
         };
+        let asked_at = now();
         let answer = agent.ask(&path, wait).await;
         match answer.map(|body| told(&body)) {
             // Changes where the whole list was asked for say nothing of what else there is.
             Ok(Some(told)) if told.whole || held.is_some() => {
                 add(&exchange.counters.lists);
-                if std::mem::replace(&mut failing, false) {
-                    slog::info!(log, "discovery answers again");
-                }
+                record.answered(&told);
                 let back = held.is_some_and(|held| told.revision < held);
                 if told.whole || !back {
                     let news = if told.whole { News::Whole } else { News::Changes };
@@ -176,10 +175,14 @@
             failed => {
                 agent.link = None;
                 add(&exchange.counters.list_failures);
-                if !std::mem::replace(&mut failing, true) {
-                    let why = failed.err().map_or("not a list".to_owned(), |e| e.to_string());
-                    slog::warn!(log, "discovery failed"; "why" => why);
+                let why =
+                    failed.err().unwrap_or_else(|| io::Error::new(ErrorKind::InvalidData, "not a list"));
+                match why.kind() {
+                    ErrorKind::TimedOut => add(&exchange.counters.list_timeouts),
+                    ErrorKind::Other => add(&exchange.counters.list_refusals),
+                    _ => {}
                 }
+                record.failed(&path, &why, asked_at, held);
                 // What has changed meanwhile is not waited for: the whole list is asked for until one has come,
                 // and where a list has to be asked for, once at once.
                 if held.take().is_some() {
@@ -192,6 +195,53 @@
     }
 }
 
+/// So many servers that drain or are gone are named in the log line of a list.
+const NAMED_IN_LOG: usize = 16;
+
+/// What the log says of calls to discovery: every list that changes something, the first failure of a row, then each
+/// time their number has doubled, and the end of the row.
+struct CallRecord {
+    log: slog::Logger,
+    /// Calls failed since the last answer, and when the first of them was found out.
+    failures: u64,
+    failing_since: Option<Instant>,
+    last_answer: Option<Instant>,
+}
+
+impl CallRecord {
+    fn new(log: slog::Logger) -> Self {
+        CallRecord { log, failures: 0, failing_since: None, last_answer: None }
+    }
+
+    fn answered(&mut self, list: &Told) {
+        if let Some(began) = self.failing_since.take() {
+            slog::info!(self.log, "discovery answers again"; "revision" => list.revision,
+                "failed_calls" => self.failures, "failing_ms" => since(began).as_millis());
+        }
+        self.failures = 0;
+        self.last_answer = Some(now());
+        let named = |phase: Phase| {
+            let of_phase = list.entries.iter().filter(|entry| entry.phase == phase);
+            of_phase.take(NAMED_IN_LOG).map(|entry| entry.uid.as_str()).collect::<Vec<_>>().join(" ")
+        };
+        if !list.entries.is_empty() {
+            slog::info!(self.log, "list"; "revision" => list.revision, "whole" => list.whole,
+                "entries" => list.entries.len(), "draining" => named(Phase::Draining), "gone" => named(Phase::Gone));
+        }
+    }
+
+    /// `held`: the revision that the gateway goes by meanwhile.
+    fn failed(&mut self, call: &str, why: &io::Error, asked_at: Instant, held: Option<u64>) {
+        self.failures += 1;
+        self.failing_since.get_or_insert_with(now);
+        if self.failures.is_power_of_two() {
+            slog::warn!(self.log, "discovery failed"; "why" => why.to_string(), "call" => call,
+                "took_ms" => since(asked_at).as_millis(), "failed_calls" => self.failures, "held" => held,
+                "list_age_ms" => self.last_answer.map(|at| since(at).as_millis() as u64));
+        }
+    }
+}
+
 struct Agent {
     address: SocketAddr,
     link: Option<Link>,
