--- /dev/null
+++ b/gateway/tests/discovery.rs
@@ -0,0 +1,146 @@
+//! How real gateways follow a discovery service that is crowded, refuses, or has been silent: what they have been told,
+//! or count as told, and what still goes to servers that drain.
+
+use std::path::Path;
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use leverpoint_stands::agent::Agent;
+use leverpoint_stands::discovery::{Capacity, Discovery};
+use leverpoint_stands::gateway::{self as stands, Gateway, config, free_address};
+use leverpoint_stands::held::{HeldAgent, listed};
+use leverpoint_stands::server::{rows, server};
+use leverpoint_stands::wire::{http, insert, target};
+
+/// The grace after which nothing goes to a server that drains.
+const DRAIN_GRACE: Duration = Duration::from_millis(500);
+/// A change counts as told so long after discovery had it, whatever became of the calls.
+const COUNTS_AS_TOLD: Duration = Duration::from_secs(6);
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_leverpoint"))
+}
+
+/// `discovery`: `pushed` or `on_request`.
+fn settings(discovery: &str) -> String {
+    format!(
+        r#"{{"balancers": 1, "me": 0, "tickMs": 5.0, "zone": 0, "zones": ["a"], "discovery": "{discovery}",
+    "contract": {{"answerSlackMs": 5000.0, "askEveryMs": 10000.0, "coldMs": 9000.0, "fallMs": 1500.0,
+     "fallMultiple": 2.5, "startCapacity": 0.2, "stopSendingWithinMs": 500.0}},
+    "familyInfo": {{"guards": "reject", "listRole": "delayed", "oldestDataMs": [0.0, 0.0],
+     "readLevel": ["loose", "update"], "stamps": true, "tokens": "router"}},
+    "grades": [
+     {{"name": "view", "aimMs": 2000.0, "deadlineMs": 2000.0, "semantics": "pure", "worth": 1.0, "lateWorth": 1.0}},
+     {{"name": "order", "aimMs": 2000.0, "deadlineMs": 2000.0, "semantics": "side_effect", "worth": 3.0}}],
+    "policyLimits": {{"sendCap": 4, "retryAfter": true, "maxRetryAfterMs": 2000.0, "connectTimeoutMs": 250.0,
+     "idleCloseMs": 15000.0}},
+    "tenants": [{{"name": "acme", "share": 1.0, "quotaPerS": 100.0}}]}}"#
+    )
+}
+
+/// A gateway that remembers this list and finds discovery at that address.
+fn gateway(discovery: &str, known: &str, mode: &str) -> Gateway {
+    let address = free_address();
+    let text = config(&address, discovery, known, &settings(mode));
+    let agent = Agent { address: discovery.to_owned(), say: mpsc::channel().0, asked: mpsc::channel().1 };
+    stands::start(&text, address, agent, program(), &[])
+}
+
+/// An agent that was silent answers only calls that begin after its return, and what it has then counts as told at once.
+#[test]
+fn while_its_agent_is_silent_a_gateway_makes_a_new_call_within_the_grace() {
+    let (drains, stays) = (server("read-write", rows("drains")), server("read-write", rows("stays")));
+    let known =
+        listed(7, &[("s0", &drains.address, "up", "read-write"), ("s1", &stays.address, "up", "read-only")]);
+    let agent = HeldAgent::new();
+    let gateway = gateway(&agent.address, &known, "pushed");
+    let now = listed(
+        9,
+        &[("s0", &drains.address, "draining", "read-only"), ("s1", &stays.address, "up", "read-write")],
+    );
+    // These calls are never answered: the agent learns and tells nothing. It may be back right after any of them.
+    let mut unanswered = vec![agent.asked()];
+    for _ in 0..4 {
+        let back = Instant::now();
+        unanswered.push(agent.asked());
+        assert!(back.elapsed() < DRAIN_GRACE, "the next call came {:?} after the return", back.elapsed());
+    }
+    agent.asked().says(&http(&now));
+    // Until a watch from that list on is opened: it has been taken.
+    while !agent.asked().line.contains("index=9") {}
+    assert_eq!(gateway.client().ask(&insert("order")), "T D stays C Z");
+    assert_eq!(drains.heard.try_iter().count(), 0);
+}
+
+/// Twelve gateways start in the same moment before a discovery service that needs three seconds to answer one call of
+/// each. A server drains meanwhile.
+#[test]
+fn a_crowded_discovery_tells_every_gateway_in_time() {
+    let (drains, stays) = (server("read-write", rows("drains")), server("read-write", rows("stays")));
+    let lists = |drained: &str, role: &str, other: &str| {
+        [target("s0", &drains.address, drained, role), target("s1", &stays.address, "up", other)]
+    };
+    let before = lists("up", "read-write", "read-only");
+    let capacity = Capacity {
+        call: Duration::from_millis(250),
+        refusal: Duration::from_millis(10),
+        longest_queue: Duration::from_secs(2),
+    };
+    let discovery = Discovery::new(capacity, 7, &before);
+    let known = leverpoint_stands::wire::list(7, true, &before);
+    let addresses: Vec<_> = (0..12).map(|_| discovery.address()).collect();
+    let starts = addresses.iter().map(|(address, _)| {
+        let (address, known) = (address.clone(), known.clone());
+        thread::spawn(move || gateway(&address, &known, "on_request"))
+    });
+    let starts: Vec<_> = starts.collect();
+    let gateways: Vec<_> = starts.into_iter().map(|start| start.join().unwrap()).collect();
+    let changed = discovery.change(8, &lists("draining", "read-only", "read-write"));
+    thread::sleep((changed + COUNTS_AS_TOLD).saturating_duration_since(Instant::now()));
+    let told = addresses.iter().filter(|(_, caller)| discovery.told(*caller, 8).is_some()).count();
+    let refusals: usize = addresses.iter().map(|(_, caller)| discovery.refusals(*caller)).sum();
+    assert_eq!(told, gateways.len(), "gateways told of the drain in time; {refusals} calls were refused");
+    // No gateway goes on asking more than its watch needs.
+    let calls: Vec<_> = addresses.iter().map(|(_, caller)| discovery.calls(*caller)).collect();
+    assert!(calls.iter().all(|calls| *calls <= 12), "calls of each: {calls:?}");
+    thread::sleep((changed + COUNTS_AS_TOLD + DRAIN_GRACE).saturating_duration_since(Instant::now()));
+    drains.heard.try_iter().for_each(drop);
+    for gateway in &gateways {
+        assert_eq!(gateway.client().ask(&insert("order")), "T D stays C Z");
+    }
+    assert_eq!(drains.heard.try_iter().count(), 0);
+}
+
+/// Discovery is there and refuses every call: what it may have told counts six seconds later, and the gateway cannot know
+/// which server that is.
+#[test]
+fn a_gateway_that_discovery_only_refuses_sends_nothing_once_it_counts_as_told() {
+    let one = server("read-write", rows("one"));
+    let targets = [target("s0", &one.address, "up", "read-write")];
+    let capacity = Capacity {
+        call: Duration::from_millis(1),
+        refusal: Duration::from_millis(1),
+        longest_queue: Duration::from_secs(2),
+    };
+    let discovery = Discovery::new(capacity, 7, &targets);
+    let (address, caller) = discovery.address();
+    let gateway = gateway(&address, &leverpoint_stands::wire::list(7, true, &targets), "on_request");
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&insert("order")), "T D one C Z");
+    let refuses = Instant::now();
+    discovery.refuse_all(true);
+    assert!(discovery.refused(caller, 1, COUNTS_AS_TOLD));
+    assert_eq!(client.ask(&insert("order")), "T D one C Z");
+    thread::sleep((refuses + COUNTS_AS_TOLD + DRAIN_GRACE).saturating_duration_since(Instant::now()));
+    one.heard.try_iter().for_each(drop);
+    let began = Instant::now();
+    let answer = client.ask(&insert("order"));
+    assert!(answer.starts_with("E C53300"), "{answer}");
+    assert!(began.elapsed() < Duration::from_millis(500), "what is given up is answered at once");
+    assert_eq!(one.heard.try_iter().count(), 0);
+    // A list, and it serves again.
+    discovery.refuse_all(false);
+    gateway.logged("discovery answers again");
+    assert_eq!(client.ask(&insert("order")), "T D one C Z");
+}
--- a/stands/src/lib.rs
+++ b/stands/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod agent;
 pub mod client;
 pub mod crowd;
+pub mod discovery;
 pub mod gateway;
 pub mod held;
 pub mod lease;
