Drain: calls to discovery by a decision of their own, and a lease on the list

Change: src/list_calls.rs decides which call goes when: to an agent, further calls beside the unanswered ones each quarter of the grace, four at most; to a shared service, one call, from the held revision, waited for past its queue, again after 0.25 to 3 s by chance. src/list_lease.rs: where lists are asked for, refused calls end a list 6 s (4 s after a move) and the grace after it was confirmed; requests are then shed at once. gateway/src/discovery.rs makes the calls; reading lists and HTTP are modules of their own; errors of a call are typed. The decision module's own repeat is spread as well.

--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -20,8 +20,8 @@
 use leverpoint::decide::Decider;
 use leverpoint::indices::{HeldCommand, Indices, Sessions};
 use leverpoint::interface::{
-    self, Arrival, DispatchEnd, Effect, Effects, Ending, Input, Listed, Need, News, Phase, Reach, Tenths,
-    Token::Carried, Word,
+    self, Arrival, DiscoveryReply, DispatchEnd, Effect, Effects, Ending, Input, Listed, Need, News, Phase,
+    Reach, Tenths, Token::Carried, Word,
 };
 use leverpoint_facts::operator::Follow;
 use leverpoint_facts::settings::{Opened, down, span, up};
@@ -279,6 +279,13 @@
             && now() <= self.by
             && !self.peer.as_ref().is_some_and(|peer| peer.has_ended())
             && self.server_stands()
+            && self.list_holds()
+    }
+
+    /// Whether the list may still be gone by.
+    fn list_holds(&self) -> bool {
+        let ends = self.exchange.inner.borrow().decider.list_ends();
+        ends.is_none_or(|end| self.exchange.clock.now() < end)
     }
 
     /// Whether the server has not been drained, moved or started again since this was decided, and is not gone.
@@ -348,6 +355,7 @@
 
 enum Event {
     List(News, Vec<Listed>),
+    Discovery(DiscoveryReply),
     Arrived(Arrival),
     Ended { cmd: usize, nth: u32, server: usize, ending: Ending, took: Tenths, said: Option<Spoken> },
     HungUp(usize),
@@ -361,7 +369,9 @@
         match self {
             Event::Arrived(arrival) => Some(arrival.cmd),
             Event::Ended { cmd, .. } | Event::HungUp(cmd) => Some(*cmd),
-            Event::List(..) | Event::Told(_) | Event::Due(_) | Event::Probed { .. } => None,
+            Event::List(..) | Event::Discovery(_) | Event::Told(_) | Event::Due(_) | Event::Probed { .. } => {
+                None
+            }
         }
     }
 }
@@ -449,11 +459,7 @@
     pub opened: Opened,
     carrier: RefCell<Option<Rc<dyn Carrier>>>,
     timers_changed: Notify,
-    /// Discovery is to follow the list, or to ask for it once.
-    pub following: Cell<bool>,
-    pub ask_once: Cell<bool>,
-    pub list_wanted: Notify,
-    /// A list has come; discovery was asked once.
+    /// A list has come; discovery has told its list once.
     listed: Latch,
     asked: Latch,
     pub counters: Rc<Counters>,
@@ -528,9 +534,6 @@
             ended: Cell::new(false),
             clock,
             sessions,
-            following: Cell::new(opened.facts.list.pushed),
-            ask_once: Cell::new(false),
-            list_wanted: Notify::new(),
             listed: Latch::default(),
             asked: Latch::default(),
             opened,
@@ -869,6 +872,7 @@
         let now = self.clock.now();
         let mut touched = None;
         match event {
+            Event::Discovery(reply) => inner.decider.take(now, &Input::Discovery(reply), effects),
             Event::List(news, listed) => inner.decider.take(now, &Input::List(news, &listed), effects),
             Event::Arrived(arrival) => inner.decider.take(now, &Input::Arrived(arrival), effects),
             Event::Told(claims) => inner.decider.take(now, &Input::Told(&claims), effects),
@@ -980,14 +984,8 @@
                     copied.role(set, &server, claim.at);
                 }
             }
-            Effect::AskList => {
-                self.ask_once.set(true);
-                self.list_wanted.notify_one();
-            }
-            Effect::FollowList(on) => {
-                self.following.set(on);
-                self.list_wanted.notify_one();
-            }
+            // The gateway follows discovery from its start, and calls as `list_calls` decides.
+            Effect::AskList | Effect::FollowList(_) => {}
             Effect::ForgetSession(session) => self.inner.borrow_mut().sessions.forgotten(session),
             Effect::ForgetServer(server) => {
                 let mut inner = self.inner.borrow_mut();
@@ -1152,16 +1150,12 @@
             left.iter().for_each(|&server| inner.places[server].changes += 1);
         }
         self.take(Event::List(news, listed));
-        if news != News::Remembered {
-            self.asked.set();
-        }
         if news == News::Failed {
-            // One that must be asked for is followed again once the module asks.
-            self.following.set(self.opened.facts.list.pushed);
             return;
         }
         self.listed.set();
         if news != News::Remembered {
+            self.asked.set();
             self.tell_drains();
         }
         if let Some(carrier) = self.carrier.borrow().as_ref() {
@@ -1169,7 +1163,25 @@
         }
     }
 
-    /// Waits until discovery was asked once, whatever came of it: what it can tell at a start counts from then on.
+    /// How a call for the list has ended; a list that came with it has been taken before.
+    pub fn discovery(self: &Rc<Self>, reply: DiscoveryReply) {
+        self.take(Event::Discovery(reply));
+        if reply == DiscoveryReply::Confirmed {
+            self.asked.set();
+        }
+    }
+
+    /// Whether there is a list to decide by.
+    pub fn has_list(&self) -> bool {
+        self.listed.is.get()
+    }
+
+    /// The revision of the newest list that was taken.
+    pub fn list_revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// Waits until discovery has told its list once: what it can tell at a start counts from then on.
     pub async fn asked(&self) {
         self.asked.wait().await;
     }
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -1,109 +1,30 @@
-//! Owns the talk with discovery's agent: the whole list at first, then a watch without a gap, in HTTP/1.1.
+//! Follows discovery: makes the calls that `list_calls` decides on, and tells the exchange what they came to.
 //!
-//! It tells the exchange what it was told, as what it is. A failed ask leaves the list as it was; nothing
-//! here judges a list or keeps one.
+//! A failed call leaves the list as it was. Nothing here decides when to call, judges a list or keeps one.
 
 use std::cell::Cell;
-use std::fmt::{self, Formatter};
-use std::io::{self, ErrorKind};
+use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::task::Poll;
 
-use leverpoint::interface::{News, Phase};
+use leverpoint::interface::{DiscoveryReply, News, Phase, Tenths};
+use leverpoint::list_calls::{Answer, Call, Failure, ListCalls, Step, Verdict};
 use leverpoint_exchange::counters::add;
-use leverpoint_exchange::exchange::{Entry, Exchange};
-use leverpoint_ground::{Instant, now, plant, since, sleep, timeout_at};
-use serde::Deserialize;
-use serde::de::{Deserializer, SeqAccess, Visitor};
-use serde_json::Value;
+use leverpoint_exchange::exchange::Exchange;
+use leverpoint_facts::settings::span;
+use leverpoint_ground::{Instant, now, since, sleep_until};
 use tokio::sync::Notify;
 
+use crate::list_format::{ServerList, server_list};
+use crate::list_http::{Answering, CallAnswer, CallError, call};
 use crate::ring::Link;
 
-/// How long a watch may wait for news, in milliseconds. A change counts as told 6 s after discovery had it, whatever
-/// became of the call that should have told it: a watch that has fallen silent is given up and the whole list asked
-/// for well within that, with time for one more failure.
-const WAIT_MS: u64 = 3_000;
-/// The agent is on the gateway's own machine: what has not begun to come by then past its wait does not come.
-const PAST_WAIT: Duration = Duration::from_secs(1);
-/// A list that has begun may take as long again on a busy core, but no longer.
-const WHOLE_WITHIN: Duration = Duration::from_secs(1);
-/// After a failure so long is waited: an agent that refuses is not asked in a spin.
-const AGAIN: Duration = Duration::from_millis(250);
-/// A list of ten thousand servers is below this.
-const LONGEST: usize = 4 << 20;
-
-/// A list as it came.
-#[derive(Debug, PartialEq)]
-pub struct Told {
-    pub revision: u64,
-    pub whole: bool,
-    pub entries: Vec<Entry>,
-}
-
-/// Reads a list; an entry without what names it is left out.
-pub fn told(text: &[u8]) -> Option<Told> {
-    let List { rev, all, targets } = serde_json::from_slice(text).ok()?;
-    Some(Told { revision: rev, whole: all, entries: targets.0 })
-}
-
-#[derive(Deserialize)]
-struct List {
-    rev: u64,
-    all: bool,
-    targets: Targets,
-}
-
-/// Entries, read one at a time: the tree of a list of ten thousand would take more than the smallest machine has.
-struct Targets(Vec<Entry>);
-
-impl<'de> Deserialize<'de> for Targets {
-    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
-        struct Each;
-
-        impl<'de> Visitor<'de> for Each {
-            type Value = Targets;
-
-            fn expecting(&self, f: &mut Formatter<'_>) -> fmt::Result {
-                f.write_str("a list of servers")
-            }
-
-            fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Targets, A::Error> {
-                let mut entries = Vec::new();
-                while let Some(value) = seq.next_element::<Value>()? {
-                    entries.extend(entry(&value));
-                }
-                Ok(Targets(entries))
-            }
-        }
-
-        from.deserialize_seq(Each)
-    }
-}
-
-fn entry(value: &Value) -> Option<Entry> {
-    let text = |name: &str| value.get(name).and_then(Value::as_str);
-    let number = |name: &str| value.get(name).and_then(Value::as_f64).filter(|n| *n >= 0.0);
-    Some(Entry {
-        uid: text("uid")?.to_owned(),
-        endpoint: text("endpoint").and_then(|address| address.parse().ok()),
-        zone: text("az").unwrap_or_default().to_owned(),
-        set: number("pod_group").unwrap_or(0.0) as u16,
-        phase: match text("state") {
-            Some("up") => Phase::Ready,
-            Some("draining") if !plant("drain-overlooked") => Phase::Draining,
-            Some("draining") => Phase::Ready,
-            _ => Phase::Gone,
-        },
-        primary: text("mode") == Some("read-write"),
-        size: number("capacity_hint").unwrap_or(1.0),
-        started_ms: number("boot_ms").unwrap_or(0.0),
-    })
-}
+/// So many servers that drain or are gone are named in the log line of a list.
+const NAMED_IN_LOG: usize = 16;
 
-/// Where the agent is reached; another configuration may name another address.
+/// Where discovery is reached; another configuration may name another address.
 pub struct Whereabouts {
     address: Cell<SocketAddr>,
     moved: Notify,
@@ -124,79 +45,183 @@
     }
 }
 
-/// Follows the list for as long as the gateway runs. An agent elsewhere is asked for the whole list at once,
-/// whatever was being waited for; until it has answered the list stands as it is.
+/// Follows the list for as long as the gateway runs. Discovery elsewhere is called for the whole list at once, whatever
+/// was being waited for; until it has answered the list stands as it is.
 pub async fn follow(agent: Rc<Whereabouts>, exchange: Rc<Exchange>, log: slog::Logger) {
+    let mut follower = Follower::new(&agent, exchange, log);
     loop {
         tokio::select! {
             biased;
-            _ = follow_at(agent.address.get(), &exchange, &log) => {}
-            _ = agent.moved.notified() => exchange.ask_once.set(true),
+            _ = agent.moved.notified() => follower.moved(agent.address.get()),
+            _ = follower.step() => {}
         }
     }
 }
 
-async fn follow_at(agent: SocketAddr, exchange: &Rc<Exchange>, log: &slog::Logger) {
-    let mut agent = Agent { address: agent, link: None };
-    let mut held: Option<u64> = None;
-    let mut record = CallRecord::new(log.clone());
-    loop {
-        if !exchange.following.get() && !exchange.ask_once.take() {
-            exchange.list_wanted.notified().await;
-            continue;
+type Calling = Pin<Box<dyn Future<Output = Result<CallAnswer, CallError>>>>;
+
+/// A call that is out.
+struct InFlight {
+    id: u64,
+    path: String,
+    began: Instant,
+    answering: Answering,
+    calling: Calling,
+}
+
+struct Follower {
+    address: SocketAddr,
+    exchange: Rc<Exchange>,
+    calls: ListCalls,
+    in_flight: Vec<InFlight>,
+    /// A connection that the last call has left open.
+    kept: Option<Link>,
+    /// Times that `calls` is told count from here.
+    epoch: Instant,
+    record: CallRecord,
+}
+
+impl Follower {
+    fn new(agent: &Whereabouts, exchange: Rc<Exchange>, log: slog::Logger) -> Self {
+        let facts = &exchange.opened.facts;
+        let remembered = exchange.has_list().then(|| exchange.list_revision());
+        let calls = ListCalls::new(
+            facts.list.pushed,
+            facts.guard.drain_grace,
+            remembered,
+            facts.seed ^ facts.me as u64,
+        );
+        Follower {
+            address: agent.address.get(),
+            exchange,
+            calls,
+            in_flight: Vec::new(),
+            kept: None,
+            epoch: now(),
+            record: CallRecord::new(log),
         }
-        // From the first whole list on, what has changed since the one that is held.
-        let (path, wait) = match held.filter(|_| exchange.following.get()) {
-            Some(revision) => {
-                let path = format!("/api/targets?index={revision}&wait={WAIT_MS}");
-                (path, Duration::from_millis(WAIT_MS) + PAST_WAIT)
+    }
+
+    fn tenths(&self, at: Instant) -> Tenths {
+        (at.saturating_duration_since(self.epoch).as_nanos() / 100_000) as Tenths
+    }
+
+    fn moved(&mut self, address: SocketAddr) {
+        self.address = address;
+        self.in_flight.clear();
+        self.kept = None;
+        self.calls.moved();
+        self.exchange.discovery(DiscoveryReply::Moved);
+    }
+
+    async fn step(&mut self) {
+        for call in &self.in_flight {
+            if let Some(at) = call.answering.get() {
+                self.calls.answering(call.id, self.tenths(at));
             }
-            None => ("/api/targets".to_owned(), PAST_WAIT),
-        };
-        let asked_at = now();
-        let answer = agent.ask(&path, wait).await;
-        match answer.map(|body| told(&body)) {
-            // Changes where the whole list was asked for say nothing of what else there is.
-            Ok(Some(told)) if told.whole || held.is_some() => {
-                add(&exchange.counters.lists);
-                record.answered(&told);
-                let back = held.is_some_and(|held| told.revision < held);
-                if told.whole || !back {
-                    let news = if told.whole { News::Whole } else { News::Changes };
-                    if told.whole || !told.entries.is_empty() {
-                        exchange.list(news, told.revision, &told.entries);
+        }
+        match self.calls.next(self.tenths(now())) {
+            Step::Begin { id, call } => self.begin(id, call),
+            Step::Abandon { id } => self.abandon(id),
+            Step::Wait { until } => {
+                // Rounded up, so that the time has come once this is over.
+                let until = self.epoch + span(until + 1);
+                tokio::select! {
+                    biased;
+                    (at, result) = first_end(&mut self.in_flight) => {
+                        let ended = self.in_flight.remove(at);
+                        self.ended(ended, result);
                     }
-                    held = Some(told.revision);
-                } else {
-                    // Changes of a revision before the one held: only the whole list tells what stands.
-                    held = None;
+                    _ = sleep_until(until) => {}
                 }
             }
-            failed => {
-                agent.link = None;
-                add(&exchange.counters.list_failures);
-                let why =
-                    failed.err().unwrap_or_else(|| io::Error::new(ErrorKind::InvalidData, "not a list"));
-                match why.kind() {
-                    ErrorKind::TimedOut => add(&exchange.counters.list_timeouts),
-                    ErrorKind::Other => add(&exchange.counters.list_refusals),
-                    _ => {}
-                }
-                record.failed(&path, &why, asked_at, held);
-                // What has changed meanwhile is not waited for: the whole list is asked for until one has come,
-                // and where a list has to be asked for, once at once.
-                if held.take().is_some() {
-                    exchange.ask_once.set(true);
-                }
-                exchange.list(News::Failed, 0, &[]);
-                sleep(AGAIN).await;
+        }
+    }
+
+    fn begin(&mut self, id: u64, what: Call) {
+        let path = match what {
+            Call::Whole => "/api/targets".to_owned(),
+            Call::Watch { since, wait } => format!("/api/targets?index={since}&wait={}", wait / 10),
+        };
+        let answering = Answering::default();
+        let calling = Box::pin(call(self.address, self.kept.take(), path.clone(), answering.clone()));
+        self.in_flight.push(InFlight { id, path, began: now(), answering, calling });
+    }
+
+    fn abandon(&mut self, id: u64) {
+        if let Some(at) = self.in_flight.iter().position(|call| call.id == id) {
+            let call = self.in_flight.remove(at);
+            self.failed(&call, &CallError::TimedOut);
+        }
+    }
+
+    fn ended(&mut self, call: InFlight, result: Result<CallAnswer, CallError>) {
+        let at = self.tenths(now());
+        let (list, kept) = match result {
+            Ok(answer) => (server_list(&answer.body).ok_or(CallError::NotAList), answer.kept),
+            Err(error) => (Err(error), None),
+        };
+        let list = match list {
+            Ok(list) => list,
+            Err(error) => {
+                let failure = match error {
+                    CallError::Refused(_) => Failure::Refused,
+                    CallError::Unreachable(_) => Failure::Unreachable,
+                    CallError::Broken(_) | CallError::NotAList | CallError::TimedOut => Failure::Broken,
+                };
+                self.calls.failed(call.id, at, failure);
+                self.failed(&call, &error);
+                return;
             }
+        };
+        let answer = Answer { revision: list.revision, whole: list.whole };
+        match self.calls.answered(call.id, at, answer) {
+            Verdict::Take => {
+                self.kept = kept;
+                self.in_flight.clear();
+                self.take(&list);
+            }
+            Verdict::Ignore => self.failed(&call, &CallError::NotAList),
+        }
+    }
+
+    fn take(&mut self, list: &ServerList) {
+        add(&self.exchange.counters.lists);
+        self.record.answered(list);
+        if list.whole || !list.entries.is_empty() {
+            let news = if list.whole { News::Whole } else { News::Changes };
+            self.exchange.list(news, list.revision, &list.entries);
         }
+        self.exchange.discovery(DiscoveryReply::Confirmed);
+    }
+
+    fn failed(&mut self, call: &InFlight, error: &CallError) {
+        let counters = &self.exchange.counters;
+        add(&counters.list_failures);
+        match error {
+            CallError::TimedOut => add(&counters.list_timeouts),
+            CallError::Refused(_) => {
+                add(&counters.list_refusals);
+                self.exchange.discovery(DiscoveryReply::Refused);
+            }
+            _ => {}
+        }
+        self.record.failed(call, error, self.exchange.list_revision());
     }
 }
 
-/// So many servers that drain or are gone are named in the log line of a list.
-const NAMED_IN_LOG: usize = 16;
+/// The first of these calls to end, by its place, and what it came to.
+async fn first_end(in_flight: &mut [InFlight]) -> (usize, Result<CallAnswer, CallError>) {
+    poll_fn(|context| {
+        for (at, call) in in_flight.iter_mut().enumerate() {
+            if let Poll::Ready(result) = call.calling.as_mut().poll(context) {
+                return Poll::Ready((at, result));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
 
 /// What the log says of calls to discovery: every list that changes something, the first failure of a row, then each
 /// time their number has doubled, and the end of the row.
@@ -213,7 +238,7 @@
         CallRecord { log, failures: 0, failing_since: None, last_answer: None }
     }
 
-    fn answered(&mut self, list: &Told) {
+    fn answered(&mut self, list: &ServerList) {
         if let Some(began) = self.failing_since.take() {
             slog::info!(self.log, "discovery answers again"; "revision" => list.revision,
                 "failed_calls" => self.failures, "failing_ms" => since(began).as_millis());
@@ -231,139 +256,13 @@
     }
 
     /// `held`: the revision that the gateway goes by meanwhile.
-    fn failed(&mut self, call: &str, why: &io::Error, asked_at: Instant, held: Option<u64>) {
+    fn failed(&mut self, call: &InFlight, error: &CallError, held: u64) {
         self.failures += 1;
         self.failing_since.get_or_insert_with(now);
         if self.failures.is_power_of_two() {
-            slog::warn!(self.log, "discovery failed"; "why" => why.to_string(), "call" => call,
-                "took_ms" => since(asked_at).as_millis(), "failed_calls" => self.failures, "held" => held,
+            slog::warn!(self.log, "discovery failed"; "why" => error.to_string(), "call" => &call.path,
+                "took_ms" => since(call.began).as_millis(), "failed_calls" => self.failures, "held" => held,
                 "list_age_ms" => self.last_answer.map(|at| since(at).as_millis() as u64));
         }
     }
 }
-
-struct Agent {
-    address: SocketAddr,
-    link: Option<Link>,
-}
-
-fn garbled() -> io::Error {
-    ErrorKind::InvalidData.into()
-}
-
-impl Agent {
-    /// The answer's body: begun within `wait`, whole soon after that.
-    async fn ask(&mut self, path: &str, wait: Duration) -> io::Result<Vec<u8>> {
-        let begun = Cell::new(false);
-        let by = now() + wait;
-        let mut asking = pin!(self.ask_once_more(path, &begun));
-        match timeout_at(by, asking.as_mut()).await {
-            Ok(answer) => answer,
-            Err(_) if begun.get() => timeout_at(by + WHOLE_WITHIN, asking)
-                .await
-                .unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())),
-            Err(_) => Err(ErrorKind::TimedOut.into()),
-        }
-    }
-
-    async fn ask_once_more(&mut self, path: &str, begun: &Cell<bool>) -> io::Result<Vec<u8>> {
-        let ask =
-            format!("GET {path} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.address);
-        // A connection kept from the last ask may have been closed meanwhile: then once more on a new one.
-        if let Some(mut link) = self.link.take()
-            && link.write(&[ask.as_bytes()], &Cell::new(0)).await.is_ok()
-        {
-            match self.answer(link, begun).await {
-                Err(e) if e.kind() == ErrorKind::UnexpectedEof || e.kind() == ErrorKind::ConnectionReset => {}
-                answer => return answer,
-            }
-        }
-        let mut link = Link::connect(self.address, None).await?;
-        link.write(&[ask.as_bytes()], &Cell::new(0)).await?;
-        self.answer(link, begun).await
-    }
-
-    /// Reads an answer whole; keeps the connection where the agent does.
-    async fn answer(&mut self, mut link: Link, begun: &Cell<bool>) -> io::Result<Vec<u8>> {
-        let head = read_to(&mut link, b"\r\n\r\n").await?.to_ascii_lowercase();
-        begun.set(true);
-        let mut lines = head.split("\r\n");
-        let status = lines.next().unwrap_or_default();
-        if !status.starts_with("http/1.") || status.split(' ').nth(1) != Some("200") {
-            return Err(io::Error::other(format!("answered {status:.40}")));
-        }
-        let field = |name: &str| {
-            let mut fields = head.split("\r\n").filter_map(|line| line.split_once(':'));
-            fields.find(|(n, _)| n.trim() == name).map(|(_, value)| value.trim())
-        };
-        let chunked = field("transfer-encoding").is_some_and(|v| v.ends_with("chunked"));
-        let length = field("content-length");
-        // Where nothing tells its length a body runs to the close, whatever else is said of the connection.
-        let endless = !chunked && length.is_none();
-        let closes = endless || field("connection") == Some("close") || status.starts_with("http/1.0");
-        let mut body = Vec::new();
-        if chunked {
-            loop {
-                let line = read_to(&mut link, b"\r\n").await?;
-                let digits = line.trim_end().split(';').next().unwrap_or_default().trim();
-                let size = usize::from_str_radix(digits, 16).map_err(|_| garbled())?;
-                read_body(&mut link, &mut body, size).await?;
-                let mut end = Vec::new();
-                read_body(&mut link, &mut end, 2).await?;
-                if end != b"\r\n" {
-                    return Err(garbled());
-                }
-                if size == 0 {
-                    break;
-                }
-            }
-        } else if let Some(length) = length {
-            let length = length.parse().map_err(|_| garbled())?;
-            read_body(&mut link, &mut body, length).await?;
-        } else {
-            loop {
-                let there = link.input.len();
-                read_body(&mut link, &mut body, there).await?;
-                match link.read().await {
-                    Ok(_) => {}
-                    // A reset is no end.
-                    Err(e) if e.kind() == ErrorKind::UnexpectedEof => break,
-                    Err(e) => return Err(e),
-                }
-            }
-        }
-        if !closes {
-            self.link = Some(link);
-        }
-        Ok(body)
-    }
-}
-
-/// The text up to and with the first such end.
-async fn read_to<const N: usize>(link: &mut Link, end: &[u8; N]) -> io::Result<String> {
-    loop {
-        if let Some(at) = (0..link.input.len()).find(|&at| link.input.peek::<N>(at) == Some(*end)) {
-            return String::from_utf8(link.input.take(at + N)).map_err(|_| garbled());
-        }
-        if link.input.space() == 0 {
-            return Err(garbled());
-        }
-        link.read().await?;
-    }
-}
-
-async fn read_body(link: &mut Link, body: &mut Vec<u8>, length: usize) -> io::Result<()> {
-    if length > LONGEST.saturating_sub(body.len()) {
-        return Err(garbled());
-    }
-    let whole = body.len() + length;
-    body.reserve_exact(length);
-    loop {
-        let there = link.input.len().min(whole - body.len());
-        body.append(&mut link.input.take(there));
-        if body.len() == whole {
-            return Ok(());
-        }
-        link.read().await?;
-    }
-}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod discovery;
 pub mod fleet;
 pub mod kept;
+pub mod list_format;
+mod list_http;
 pub mod message;
 pub mod ring;
 pub mod serve;
--- /dev/null
+++ b/gateway/src/list_format.rs
@@ -0,0 +1,80 @@
+//! Reads lists of servers, as discovery and the configuration write them, in JSON.
+//!
+//! Entries are read one at a time; one without what names it is left out. It judges no list and keeps none.
+
+use std::fmt::{self, Formatter};
+
+use leverpoint::interface::Phase;
+use leverpoint_exchange::exchange::Entry;
+use leverpoint_ground::plant;
+use serde::Deserialize;
+use serde::de::{Deserializer, SeqAccess, Visitor};
+use serde_json::Value;
+
+/// A list as it came.
+#[derive(Debug, PartialEq)]
+pub struct ServerList {
+    pub revision: u64,
+    pub whole: bool,
+    pub entries: Vec<Entry>,
+}
+
+/// Reads a list; an entry without what names it is left out.
+pub fn server_list(text: &[u8]) -> Option<ServerList> {
+    let List { rev, all, targets } = serde_json::from_slice(text).ok()?;
+    Some(ServerList { revision: rev, whole: all, entries: targets.0 })
+}
+
+#[derive(Deserialize)]
+struct List {
+    rev: u64,
+    all: bool,
+    targets: Targets,
+}
+
+/// Entries, read one at a time: the tree of a list of ten thousand would take more than the smallest machine has.
+struct Targets(Vec<Entry>);
+
+impl<'de> Deserialize<'de> for Targets {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        struct Each;
+
+        impl<'de> Visitor<'de> for Each {
+            type Value = Targets;
+
+            fn expecting(&self, f: &mut Formatter<'_>) -> fmt::Result {
+                f.write_str("a list of servers")
+            }
+
+            fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Targets, A::Error> {
+                let mut entries = Vec::new();
+                while let Some(value) = seq.next_element::<Value>()? {
+                    entries.extend(entry(&value));
+                }
+                Ok(Targets(entries))
+            }
+        }
+
+        from.deserialize_seq(Each)
+    }
+}
+
+fn entry(value: &Value) -> Option<Entry> {
+    let text = |name: &str| value.get(name).and_then(Value::as_str);
+    let number = |name: &str| value.get(name).and_then(Value::as_f64).filter(|n| *n >= 0.0);
+    Some(Entry {
+        uid: text("uid")?.to_owned(),
+        endpoint: text("endpoint").and_then(|address| address.parse().ok()),
+        zone: text("az").unwrap_or_default().to_owned(),
+        set: number("pod_group").unwrap_or(0.0) as u16,
+        phase: match text("state") {
+            Some("up") => Phase::Ready,
+            Some("draining") if !plant("drain-overlooked") => Phase::Draining,
+            Some("draining") => Phase::Ready,
+            _ => Phase::Gone,
+        },
+        primary: text("mode") == Some("read-write"),
+        size: number("capacity_hint").unwrap_or(1.0),
+        started_ms: number("boot_ms").unwrap_or(0.0),
+    })
+}
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -30,6 +30,7 @@
 use crate::discovery::{self, Whereabouts};
 use crate::fleet;
 use crate::kept;
+use crate::list_format::server_list;
 use crate::message::LONGEST;
 use crate::servers::Servers;
 
@@ -118,7 +119,7 @@
         let exchange = Exchange::new(opened.clone(), counters.clone(), follow.clone(), log.clone());
         let kept = follow.and_then(|follow| kept::start(&follow, &exchange, &log));
         exchange.set_carrier(servers.clone());
-        let known = node.known.take().and_then(|known| discovery::told(known.get().as_bytes()));
+        let known = node.known.take().and_then(|known| server_list(known.get().as_bytes()));
         if let Some(known) = &known {
             exchange.list(News::Remembered, known.revision, &known.entries);
         }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,6 +17,7 @@
 use std::collections::VecDeque;
 
 use crate::interface::*;
+use crate::list_lease::ListLease;
 
 const MS: Tenths = 10;
 
@@ -255,6 +256,7 @@
     /// Density of the best group.
     best: f64,
     follow_at: Option<Tenths>,
+    lease: ListLease,
 }
 
 impl Decider {
@@ -289,6 +291,7 @@
             ends: [[0.0; 2]; 2],
             best: f64::MIN_POSITIVE,
             follow_at: (!facts.list.pushed).then_some(Tenths::MIN),
+            lease: ListLease::new(facts.list.pushed, facts.guard.drain_grace),
             facts,
         }
     }
@@ -296,9 +299,13 @@
     /// Takes one input at the time `now` and appends what is to be done.
     pub fn take(&mut self, now: Tenths, input: &Input<'_>, out: &mut Vec<Effect>) {
         self.now = self.now.max(now);
+        self.lease.begins(self.now);
         self.fade();
         match input {
             Input::List(news, entries) => self.list(*news, entries, out),
+            Input::Discovery(DiscoveryReply::Confirmed) => self.lease.confirmed(self.now),
+            Input::Discovery(DiscoveryReply::Refused) => self.lease.refused(),
+            Input::Discovery(DiscoveryReply::Moved) => self.lease.moved(self.now),
             Input::Arrived(arrival) => self.arrived(arrival, out),
             Input::Ended(end) => self.ended(end, out),
             Input::HungUp(cmd) => self.step(*cmd, Seen::Done, out),
@@ -318,6 +325,11 @@
         self.forget_gone(out);
     }
 
+    /// From when on nothing may be sent, as the list that is held may be too old by then.
+    pub fn list_ends(&self) -> Option<Tenths> {
+        self.lease.ends()
+    }
+
     fn step(&mut self, cmd: usize, seen: Seen, out: &mut Vec<Effect>) {
         let mut next = Some(seen);
         while let Some(seen) = next {
@@ -555,8 +567,10 @@
 
     fn list(&mut self, news: News, entries: &[Listed], out: &mut Vec<Effect>) {
         if news == News::Failed {
-            // A second: the list is one service for all gateways and may be overrun.
-            self.follow_at = (!self.facts.list.pushed).then_some(self.now + 1000 * MS);
+            // The list is one service for all gateways and may be overrun: a second, spread by chance, so that those
+            // who failed together do not ask together.
+            let again = 500 * MS + self.rng.i64(0..=1000 * MS);
+            self.follow_at = (!self.facts.list.pushed).then_some(self.now + again);
             return;
         }
         if news != News::Changes {
@@ -757,6 +771,7 @@
         let left = c.ends - self.now - 2 * self.facts.grain;
         let target_left = self.target_left(c);
         if left < (g.typical / 2).max(1)
+            || self.lease.has_ended(self.now)
             || self.waited_enough(c)
             || c.dispatches >= self.facts.allowed.dispatches
             || (g.facts.late <= 0.0 && target_left < g.typical / 2)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -166,6 +166,17 @@
     Failed,
 }
 
+/// What discovery has done with a call for the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiscoveryReply {
+    /// It has told what the list is, or that nothing has changed.
+    Confirmed,
+    /// It could be reached and has told nothing.
+    Refused,
+    /// It is called at another address from now on.
+    Moved,
+}
+
 /// A command that a client has sent.
 #[derive(Clone, Copy, Debug)]
 pub struct Arrival {
@@ -241,6 +252,8 @@
 #[derive(Clone, Debug)]
 pub enum Input<'a> {
     List(News, &'a [Listed]),
+    /// How the last call for the list has ended, where the front follows discovery by itself.
+    Discovery(DiscoveryReply),
     Arrived(Arrival),
     Ended(DispatchEnd),
     HungUp(usize),
--- /dev/null
+++ b/src/list_lease.rs
@@ -0,0 +1,71 @@
+//! Decides how long a list may be gone by while discovery can be reached and refuses to tell a newer one.
+//!
+//! A change counts as told 6 s after discovery had it, whatever became of the calls, and after the grace of a drain
+//! nothing may go to a server that drains. Which server that is a gateway without a newer list can't know, so it then
+//! sends nothing at all until it has one. Where discovery says nothing at all the list is gone by as long as that lasts:
+//! there nothing counts as told. Where lists are pushed there is no lease, as the agent refuses nobody.
+//!
+//! No I/O and no clock: times are tenths of a millisecond.
+
+use crate::interface::Tenths;
+
+const MS: Tenths = 10;
+
+/// A change counts as told so long after discovery had it and could be reached.
+const COUNTS_AS_TOLD: Tenths = 6_000 * MS;
+/// What discovery has counts as told so long after a new configuration has named another address.
+const COUNTS_AFTER_MOVE: Tenths = 4_000 * MS;
+/// A process may be held up for 0.15 s between reading its clock and writing; as much again for a connection that has to
+/// come up first.
+const MARGIN: Tenths = 300 * MS;
+
+/// How long the list that is held may be gone by.
+#[derive(Clone, Copy, Debug)]
+pub struct ListLease {
+    /// None where lists are pushed.
+    grace: Option<Tenths>,
+    /// The list was confirmed last, or this process began.
+    confirmed: Option<Tenths>,
+    /// Discovery has been elsewhere since then, and has not confirmed the list there.
+    moved: Option<Tenths>,
+    /// Discovery has refused a call since.
+    refused: bool,
+}
+
+impl ListLease {
+    pub fn new(pushed: bool, drain_grace: Tenths) -> Self {
+        let grace = (!pushed).then_some(drain_grace - MARGIN);
+        ListLease { grace, confirmed: None, moved: None, refused: false }
+    }
+
+    /// The process has begun, by then at the latest.
+    pub fn begins(&mut self, now: Tenths) {
+        self.confirmed.get_or_insert(now);
+    }
+
+    /// Discovery has told what the list is at that time.
+    pub fn confirmed(&mut self, now: Tenths) {
+        (self.confirmed, self.moved, self.refused) = (Some(now), None, false);
+    }
+
+    /// A new configuration names another address for discovery.
+    pub fn moved(&mut self, now: Tenths) {
+        self.moved.get_or_insert(now);
+    }
+
+    /// Discovery could be reached and has told nothing.
+    pub fn refused(&mut self) {
+        self.refused = true;
+    }
+
+    /// From when on nothing may be sent by the list; none while nothing counts as told.
+    pub fn ends(&self) -> Option<Tenths> {
+        let told = self.confirmed.filter(|_| self.refused)? + COUNTS_AS_TOLD;
+        let after_move = self.moved.map_or(Tenths::MAX, |moved| moved + COUNTS_AFTER_MOVE);
+        self.grace.map(|grace| told.min(after_move) + grace)
+    }
+
+    pub fn has_ended(&self, now: Tenths) -> bool {
+        self.ends().is_some_and(|end| now >= end)
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -109,6 +109,11 @@
         self.take(&format!("list {news:?}: {}", said.join(", ")), &Input::List(news, lines));
     }
 
+    /// How the last call for the list has ended.
+    pub fn discovery(&mut self, reply: DiscoveryReply) {
+        self.take(&format!("discovery: {reply:?}"), &Input::Discovery(reply));
+    }
+
     pub fn arrive(&mut self, cmd: usize, group: usize, session: Option<usize>) {
         let ends = self.now + self.wait;
         let arrival = Arrival {
--- /dev/null
+++ b/tests/list_calls.rs
@@ -0,0 +1,220 @@
+//! Calls to discovery as the decisions make them, against an agent that is silent and a service that is overrun.
+
+use std::collections::VecDeque;
+
+use leverpoint::interface::Tenths;
+use leverpoint::list_calls::{Answer, Call, Failure, ListCalls, Step, Verdict};
+
+const MS: Tenths = 10;
+const GRACE: Tenths = 500 * MS;
+
+fn pushed() -> ListCalls {
+    ListCalls::new(true, GRACE, Some(7), 1)
+}
+
+fn asked(seed: u64) -> ListCalls {
+    ListCalls::new(false, GRACE, Some(7), seed)
+}
+
+/// The next call that begins, and when; calls that are given up on the way are counted.
+fn begins(calls: &mut ListCalls, mut now: Tenths, given_up: &mut usize) -> (Tenths, u64, Call) {
+    loop {
+        match calls.next(now) {
+            Step::Begin { id, call } => return (now, id, call),
+            Step::Abandon { .. } => *given_up += 1,
+            Step::Wait { until } => {
+                assert!(until > now, "a wait that is over");
+                now = until;
+            }
+        }
+    }
+}
+
+#[test]
+fn a_silent_agent_is_called_again_within_half_the_grace_for_as_long_as_it_is_silent() {
+    let mut calls = pushed();
+    let (mut now, mut given_up) = (0, 0);
+    for nth in 0..400 {
+        let (at, _, call) = begins(&mut calls, now, &mut given_up);
+        assert_eq!(call, Call::Whole);
+        assert!(nth == 0 || at - now <= GRACE / 2, "call {nth} came after {} ms", (at - now) / MS);
+        now = at;
+    }
+    // Four are out at most.
+    assert_eq!(given_up, 400 - 4);
+}
+
+#[test]
+fn an_agent_that_is_slow_rather_than_silent_is_heard() {
+    let mut calls = pushed();
+    let (mut now, mut given_up) = (0, 0);
+    let (_, first, _) = begins(&mut calls, now, &mut given_up);
+    while now < 3_000 * MS {
+        now = begins(&mut calls, now, &mut given_up).0;
+    }
+    let answer = Answer { revision: 8, whole: true };
+    assert_eq!(calls.answered(first, now, answer), Verdict::Take);
+    assert_eq!(begins(&mut calls, now, &mut given_up).2, Call::Watch { since: 8, wait: 2_000 * MS });
+}
+
+#[test]
+fn a_watch_of_an_agent_that_is_late_has_a_call_for_the_whole_list_beside_it() {
+    let mut calls = pushed();
+    let mut given_up = 0;
+    let (_, whole, _) = begins(&mut calls, 0, &mut given_up);
+    assert_eq!(calls.answered(whole, 10, Answer { revision: 8, whole: true }), Verdict::Take);
+    let (began, watch, _) = begins(&mut calls, 10, &mut given_up);
+    let (late, second, call) = begins(&mut calls, began, &mut given_up);
+    assert_eq!((late - began, call), (2_000 * MS + GRACE / 4, Call::Whole));
+    // Whichever answers first is taken; the other says nothing any more.
+    assert_eq!(calls.answered(watch, late + 1, Answer { revision: 9, whole: false }), Verdict::Take);
+    assert_eq!(calls.answered(second, late + 2, Answer { revision: 8, whole: true }), Verdict::Ignore);
+    assert_eq!(calls.held(), Some(9));
+}
+
+#[test]
+fn the_first_failure_of_an_agent_is_followed_by_a_call_at_once_and_further_ones_within_the_grace() {
+    let mut calls = pushed();
+    let (mut now, mut given_up) = (0, 0);
+    for nth in 0..50 {
+        let (at, id, call) = begins(&mut calls, now, &mut given_up);
+        assert_eq!(call, Call::Whole);
+        assert!(nth != 1 || at == now);
+        assert!(at - now <= GRACE / 2);
+        now = at;
+        calls.failed(id, now, Failure::Broken);
+    }
+}
+
+#[test]
+fn a_shared_discovery_has_one_call_out_and_is_waited_for_longer_than_its_queue() {
+    let mut calls = asked(1);
+    let (mut now, mut given_up) = (0, 0);
+    let (_, id, call) = begins(&mut calls, now, &mut given_up);
+    assert_eq!(call, Call::Watch { since: 7, wait: 500 * MS }, "what has changed since the remembered list");
+    let Step::Wait { until } = calls.next(now) else { panic!("a second call") };
+    assert!(until >= 2_500 * MS);
+    now = until - 1;
+    assert_eq!(calls.answered(id, now, Answer { revision: 8, whole: false }), Verdict::Take);
+    // From there on the watch continues, and its silence is found out soon.
+    let (began, _, call) = begins(&mut calls, now, &mut given_up);
+    assert_eq!((began, call), (now, Call::Watch { since: 8, wait: 2_000 * MS }));
+    let Step::Wait { until } = calls.next(now) else { panic!("a second call") };
+    assert_eq!(until - began, 2_500 * MS);
+    assert_eq!(given_up, 0);
+}
+
+#[test]
+fn refused_calls_come_again_ever_later_and_not_together() {
+    let delays = |seed| {
+        let mut calls = asked(seed);
+        let (mut now, mut given_up) = (0, 0);
+        let mut delays = Vec::new();
+        for _ in 0..6 {
+            let (at, id, call) = begins(&mut calls, now, &mut given_up);
+            assert_eq!(call, Call::Watch { since: 7, wait: 500 * MS }, "never the whole list");
+            delays.push(at - now);
+            now = at;
+            calls.failed(id, now, Failure::Refused);
+        }
+        delays
+    };
+    let all: Vec<_> = (0..100).map(delays).collect();
+    for (nth, mean) in [(1, 500), (2, 1_000), (3, 2_000), (5, 2_000)] {
+        let of = all.iter().map(|delays| delays[nth]);
+        assert!(of.clone().min() >= Some(mean * MS / 2) && of.clone().max() <= Some(mean * MS * 3 / 2));
+        let mut distinct: Vec<_> = of.collect();
+        distinct.sort_unstable();
+        distinct.dedup();
+        assert!(distinct.len() > 90, "{} different delays", distinct.len());
+    }
+}
+
+#[test]
+fn changes_of_an_older_list_and_changes_for_a_whole_one_lead_to_the_whole_list() {
+    let mut given_up = 0;
+    let mut calls = asked(1);
+    let (now, id, _) = begins(&mut calls, 0, &mut given_up);
+    assert_eq!(calls.answered(id, now, Answer { revision: 3, whole: false }), Verdict::Ignore);
+    let (now, id, call) = begins(&mut calls, now, &mut given_up);
+    assert_eq!(call, Call::Whole);
+    assert_eq!(calls.answered(id, now, Answer { revision: 3, whole: false }), Verdict::Ignore);
+    assert_eq!(begins(&mut calls, now, &mut given_up).2, Call::Whole);
+}
+
+#[test]
+fn a_move_drops_what_is_out_and_is_followed_by_a_call_at_once() {
+    let mut given_up = 0;
+    for (mut calls, first) in [(pushed(), Call::Whole), (asked(1), Call::Watch { since: 7, wait: 500 * MS })]
+    {
+        let (_, old, _) = begins(&mut calls, 0, &mut given_up);
+        calls.failed(old, 10, Failure::Refused);
+        calls.moved();
+        let (at, new, call) = begins(&mut calls, 20, &mut given_up);
+        assert_eq!((at, call), (20, first));
+        assert_eq!(calls.answered(old, 30, Answer { revision: 9, whole: true }), Verdict::Ignore);
+        assert_eq!(calls.answered(new, 30, Answer { revision: 9, whole: true }), Verdict::Take);
+    }
+}
+
+/// A service of fixed capacity in discrete steps of a millisecond, as the protocol describes it.
+struct Service {
+    call: Tenths,
+    refusal: Tenths,
+    busy_until: Tenths,
+    /// When answered, for whom: gateway, call.
+    queue: VecDeque<(Tenths, usize, u64)>,
+}
+
+/// So many gateways whose watches ended in the same moment, before a service that can answer a call of each in `capacity`:
+/// when the last of them has been answered.
+fn last_answered(gateways: usize, capacity: Tenths, seed: u64) -> Tenths {
+    let call = capacity / gateways as Tenths;
+    let mut service = Service { call, refusal: call / 20, busy_until: 0, queue: VecDeque::new() };
+    let mut all: Vec<_> = (0..gateways).map(|n| asked(seed * 1000 + n as u64)).collect();
+    let mut answered = vec![false; gateways];
+    for now in (0..120_000 * MS).step_by(MS as usize) {
+        while let Some((_, n, id)) = service.queue.pop_front_if(|(at, _, _)| *at <= now) {
+            // A call that was given up is worked off all the same.
+            if all[n].answered(id, now, Answer { revision: 8, whole: false }) == Verdict::Take {
+                answered[n] = true;
+            }
+        }
+        if answered.iter().all(|done| *done) {
+            return now;
+        }
+        for (n, calls) in all.iter_mut().enumerate().filter(|(n, _)| !answered[*n]) {
+            loop {
+                let id = match calls.next(now) {
+                    Step::Begin { id, .. } => id,
+                    Step::Abandon { .. } => continue,
+                    Step::Wait { .. } => break,
+                };
+                let begins = service.busy_until.max(now);
+                if begins - now > 2_000 * MS {
+                    service.busy_until = begins + service.refusal;
+                    calls.failed(id, now, Failure::Refused);
+                } else {
+                    service.busy_until = begins + service.call;
+                    service.queue.push_back((service.busy_until, n, id));
+                }
+            }
+        }
+    }
+    panic!("never")
+}
+
+#[test]
+fn a_fleet_whose_watches_end_together_is_answered_at_nearly_the_pace_of_the_service() {
+    for (gateways, capacity) in [(12, 2_000 * MS), (40, 5_000 * MS), (300, 8_000 * MS), (900, 8_000 * MS)] {
+        for seed in 0..5 {
+            let last = last_answered(gateways, capacity, seed);
+            assert!(
+                last <= capacity * 7 / 4,
+                "{gateways} gateways, seed {seed}: {} ms where {} would do",
+                last / MS,
+                capacity / MS
+            );
+        }
+    }
+}
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -399,3 +399,21 @@
     b.end(1, 0, Ending::Missed, Some((false, 80 * MS)));
     assert_snapshot!(b.trace());
 }
+
+#[test]
+fn once_the_list_counts_as_too_old_requests_are_shed_at_once_until_there_is_a_newer_one() {
+    let mut facts = facts();
+    facts.list.pushed = false;
+    let mut b = Bench::with_set(facts);
+    b.discovery(DiscoveryReply::Confirmed);
+    b.discovery(DiscoveryReply::Refused);
+    b.arrive(0, 0, None);
+    b.pass(6_100);
+    b.arrive(1, 0, None);
+    b.pass(100);
+    b.arrive(2, 0, None);
+    b.arrive(3, 4, None);
+    b.discovery(DiscoveryReply::Confirmed);
+    b.arrive(4, 0, None);
+    insta::assert_snapshot!(b.trace());
+}
