Log when a list gets too old to send by; a stand that inherits no other test's sockets

Need: why requests are shed has to stand in the log; SIGUSR1 prints the list's revision, its age and how long it may still be gone by. Only 429 and 503 count as a refusal by a discovery that is there: other statuses may come from a proxy that reaches none.

The socket that finds a free port is inherited by a child that another thread of the test is forking at that moment and stays open until it has become its program.

--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -466,6 +466,8 @@
     /// None where nothing of it is copied.
     copied: RefCell<Option<Rc<dyn Copied>>>,
     revision: Cell<u64>,
+    /// When discovery last told what the list is.
+    confirmed: Cell<Option<Instant>>,
     /// None where sessions are not followed beyond what the module remembers.
     pub sessions: Option<Ledger>,
     log: slog::Logger,
@@ -540,6 +542,7 @@
             carrier: RefCell::new(None),
             copied: RefCell::new(None),
             revision: Cell::new(0),
+            confirmed: Cell::new(None),
             timers_changed: Notify::new(),
             counters,
             log,
@@ -1167,6 +1170,7 @@
     pub fn discovery(self: &Rc<Self>, reply: DiscoveryReply) {
         if reply == DiscoveryReply::Confirmed {
             self.asked.set();
+            self.confirmed.set(Some(now()));
         }
         // An agent is called many times a second, and what it answers ends nothing.
         if !self.opened.facts.list.pushed {
@@ -1179,6 +1183,13 @@
         self.listed.is.get()
     }
 
+    /// How old the list is that is gone by, and how long it may still be; none where that has no end.
+    pub fn list_age(&self) -> (Option<Duration>, Option<Duration>) {
+        let ends = self.inner.borrow().decider.list_ends();
+        let left = ends.map(|end| span((end - self.clock.now()).max(0)));
+        (self.confirmed.get().map(since), left)
+    }
+
     /// The revision of the newest list that was taken.
     pub fn list_revision(&self) -> u64 {
         self.revision.get()
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -167,7 +167,10 @@
                 let failure = match error {
                     CallError::Refused(_) => Failure::Refused,
                     CallError::Unreachable(_) => Failure::Unreachable,
-                    CallError::Broken(_) | CallError::NotAList | CallError::TimedOut => Failure::Broken,
+                    CallError::Status(_)
+                    | CallError::Broken(_)
+                    | CallError::NotAList
+                    | CallError::TimedOut => Failure::Broken,
                 };
                 self.calls.failed(call.id, at, failure);
                 self.failed(&call, &error);
--- a/gateway/src/list_http.rs
+++ b/gateway/src/list_http.rs
@@ -23,8 +23,10 @@
 pub enum CallError {
     /// No connection came up.
     Unreachable(io::Error),
-    /// The answer's status line is not that of a list.
+    /// Discovery is there and turns calls away, by the answer's status line.
     Refused(String),
+    /// The answer's status line is none of those: whatever answers may not reach discovery itself.
+    Status(String),
     /// The connection broke before the answer was whole, or the answer can't be read.
     Broken(io::Error),
     /// The body is no list.
@@ -37,7 +39,7 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         match self {
             CallError::Unreachable(e) => write!(f, "no connection: {e}"),
-            CallError::Refused(status) => write!(f, "answered {status:.40}"),
+            CallError::Refused(status) | CallError::Status(status) => write!(f, "answered {status:.40}"),
             CallError::Broken(e) => write!(f, "{e}"),
             CallError::NotAList => f.write_str("not a list"),
             CallError::TimedOut => f.write_str("timed out"),
@@ -101,8 +103,10 @@
 fn read_head(text: &str) -> Result<Head, CallError> {
     let mut lines = text.split("\r\n");
     let status = lines.next().unwrap_or_default();
-    if !status.starts_with("http/1.") || status.split(' ').nth(1) != Some("200") {
-        return Err(CallError::Refused(status.to_owned()));
+    match status.split(' ').nth(1) {
+        Some("200") if status.starts_with("http/1.") => {}
+        Some("429" | "503") => return Err(CallError::Refused(status.to_owned())),
+        _ => return Err(CallError::Status(status.to_owned())),
     }
     let field = |name: &str| {
         let mut fields = text.split("\r\n").filter_map(|line| line.split_once(':'));
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -183,6 +183,10 @@
         slog::info!(self.log, "counters"; "all" => self.counters.line());
         slog::info!(self.log, "tables"; "hold" => format!("{:?}", self.exchange.tables()),
             "cancel_keys" => self.shared.cancels.count());
+        let (age, left) = self.exchange.list_age();
+        slog::info!(self.log, "discovery"; "revision" => self.exchange.list_revision(),
+            "list_age_ms" => age.map(|age| age.as_millis() as u64),
+            "list_ends_in_ms" => left.map(|left| left.as_millis() as u64));
         slog::info!(self.log, "peers"; "all" => self.peers.line());
         if let Some(ledger) = &self.exchange.sessions {
             slog::info!(self.log, "sessions"; "all" => ledger.line());
--- a/gateway/tests/discovery.rs
+++ b/gateway/tests/discovery.rs
@@ -8,7 +8,7 @@
 
 use leverpoint_stands::agent::Agent;
 use leverpoint_stands::discovery::{Capacity, Discovery};
-use leverpoint_stands::gateway::{self as stands, Gateway, config, free_address};
+use leverpoint_stands::gateway::{self as stands, Gateway, config, counted, free_address};
 use leverpoint_stands::held::{HeldAgent, listed};
 use leverpoint_stands::server::{rows, server};
 use leverpoint_stands::wire::{http, insert, target};
@@ -137,10 +137,15 @@
     let began = Instant::now();
     let answer = client.ask(&insert("order"));
     assert!(answer.starts_with("E C53300"), "{answer}");
+    gateway.logged("the list is too old to send by");
     assert!(began.elapsed() < Duration::from_millis(500), "what is given up is answered at once");
     assert_eq!(one.heard.try_iter().count(), 0);
     // A list, and it serves again.
+    gateway.signal("-USR1");
+    let state = gateway.logged("event=\"discovery\"");
+    assert_eq!(counted(&state, "list_ends_in_ms"), Some("0"), "{state}");
     discovery.refuse_all(false);
     gateway.logged("discovery answers again");
+    gateway.logged("the list holds again");
     assert_eq!(client.ask(&insert("order")), "T D one C Z");
 }
--- a/gateway/tests/races.rs
+++ b/gateway/tests/races.rs
@@ -612,15 +612,11 @@
     std::fs::write(&file, config(&address, &agent.address, &known, &usual())).unwrap();
     // Whoever opens the file waits until the lease on it is given up.
     let lease = leverpoint_stands::lease::Lease::take(&file);
-    let mut child = Command::new(program())
-        .arg("serve")
-        .env("NODE_CONFIG", &file)
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
+    let mut child =
+        stands::begin(Command::new(program()).arg("serve").env("NODE_CONFIG", &file).stderr(Stdio::piped()));
     lease.waited_for();
     for name in ["-HUP", "-USR1", "-TERM", "-HUP", "-TERM"] {
-        Command::new("kill").args([name, &child.id().to_string()]).status().unwrap();
+        stands::output(Command::new("kill").args([name, &child.id().to_string()]));
     }
     lease.give_up();
     let mut said = String::new();
@@ -718,7 +714,7 @@
     let limited = std::env::temp_dir().join(format!("leverpoint-{}-limited.sh", std::process::id()));
     std::fs::write(&limited, format!("#!/bin/sh\nulimit -n 40\nexec {} \"$@\"\n", program().display()))
         .unwrap();
-    Command::new("chmod").args(["+x", limited.to_str().unwrap()]).status().unwrap();
+    stands::output(Command::new("chmod").args(["+x", limited.to_str().unwrap()]));
     let gateway = stands::start(&text, address, held.agent(), &limited, &[]);
     std::fs::remove_file(&limited).unwrap();
     let silent = held.asked();
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -563,7 +563,7 @@
     ];
     let mut trace = String::new();
     let run = |command: &mut Command| {
-        let out = command.env_remove("NODE_CONFIG").output().unwrap();
+        let out = leverpoint_stands::gateway::output(command.env_remove("NODE_CONFIG"));
         let said = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
         format!("{}: {said}", out.status.code().unwrap())
     };
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -257,6 +257,8 @@
     best: f64,
     follow_at: Option<Tenths>,
     lease: ListLease,
+    /// The list was too old to send by when that was last looked at.
+    list_ended: bool,
 }
 
 impl Decider {
@@ -292,6 +294,7 @@
             best: f64::MIN_POSITIVE,
             follow_at: (!facts.list.pushed).then_some(Tenths::MIN),
             lease: ListLease::new(facts.list.pushed, facts.guard.drain_grace),
+            list_ended: false,
             facts,
         }
     }
@@ -321,10 +324,23 @@
         if self.follow_at.take_if(|at| *at <= self.now).is_some() {
             out.push(Effect::FollowList(true));
         }
+        self.note_list_end(out);
         self.serve(out);
         self.forget_gone(out);
     }
 
+    fn note_list_end(&mut self, out: &mut Vec<Effect>) {
+        let ended = self.lease.has_ended(self.now);
+        if std::mem::replace(&mut self.list_ended, ended) != ended {
+            let says = if ended {
+                "the list is too old to send by, discovery refuses a newer one"
+            } else {
+                "the list holds again"
+            };
+            out.push(Effect::Log(says.into()));
+        }
+    }
+
     /// From when on nothing may be sent, as the list that is held may be too old by then.
     pub fn list_ends(&self) -> Option<Tenths> {
         self.lease.ends()
--- a/stands/src/gateway.rs
+++ b/stands/src/gateway.rs
@@ -6,9 +6,10 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{self, Receiver};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Instant;
 
@@ -29,10 +30,25 @@
 
 static STARTED: AtomicU32 = AtomicU32::new(0);
 
+/// Held while a socket is open that nobody else may inherit, and while a process is begun: between fork and exec a child
+/// has a copy of each descriptor of all threads, and a port that was tried a moment ago would still be listened on.
+static BEGINNING: Mutex<()> = Mutex::new(());
+
+fn beginning() -> MutexGuard<'static, ()> {
+    BEGINNING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Begins a process; it has become that program once this returns.
+pub fn begin(command: &mut Command) -> Child {
+    let _held = beginning();
+    command.spawn().unwrap()
+}
+
 /// An address of its own: a free port of a loopback address that no other test has.
 pub fn free_address() -> String {
     let nth = STARTED.fetch_add(1, Ordering::Relaxed);
     let (block, last) = (7 + nth / 250 % 100, nth % 250 + 1);
+    let _held = beginning();
     let free = TcpListener::bind(format!("127.{block}.{}.{last}:0", std::process::id() % 250));
     free.unwrap().local_addr().unwrap().to_string()
 }
@@ -92,14 +108,9 @@
     let name = address.replace([':', '.'], "-");
     let file = std::env::temp_dir().join(format!("leverpoint-{}-{name}.json", std::process::id()));
     std::fs::write(&file, text).unwrap();
-    let mut child = Command::new(program)
-        .arg("serve")
-        .args(words)
-        .env("NODE_CONFIG", &file)
-        .env("NODE_DISCOVERY", &agent.address)
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
+    let mut command = Command::new(program);
+    command.arg("serve").args(words).env("NODE_CONFIG", &file).env("NODE_DISCOVERY", &agent.address);
+    let mut child = begin(command.stderr(Stdio::piped()));
     let (tell, log) = mpsc::channel();
     let stderr = BufReader::new(child.stderr.take().unwrap());
     thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
@@ -108,15 +119,27 @@
     gateway
 }
 
+/// Runs a process to its end, and what it has written.
+pub fn output(command: &mut Command) -> Output {
+    begin(command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped()))
+        .wait_with_output()
+        .unwrap()
+}
+
 /// What a line of name=count says of a name.
 pub fn counted<'a>(line: &'a str, name: &str) -> Option<&'a str> {
-    line.split([' ', '"']).find_map(|word| word.strip_prefix(name)?.strip_prefix('='))
+    line.split(' ').find_map(|word| {
+        Some(word.trim_matches('"').strip_prefix(name)?.strip_prefix('=')?.trim_matches('"'))
+    })
 }
 
 impl Gateway {
     pub fn logged(&self, what: &str) -> String {
         loop {
-            let line = self.log.recv_timeout(LONG).expect(what);
+            let line = self
+                .log
+                .recv_timeout(LONG)
+                .unwrap_or_else(|end| panic!("{what}: {end}; the program has said {:?}", self.said.borrow()));
             self.said.borrow_mut().push(line.clone());
             if line.contains(what) {
                 return line;
@@ -130,7 +153,7 @@
     }
 
     pub fn signal(&self, name: &str) {
-        Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        begin(Command::new("kill").args([name, &self.child.id().to_string()])).wait().unwrap();
     }
 
     /// Stops it where it stands, until it is told to go on; returns once it has stopped.
--- a/stands/src/stage.rs
+++ b/stands/src/stage.rs
@@ -380,13 +380,14 @@
     /// The program's own command line against a process.
     pub fn asks(&self, p: usize, words: &[&str]) -> Output {
         let file = self.places[p].file.display().to_string();
-        Command::new(&self.program).arg("members").args(["--operator", &file]).args(words).output().unwrap()
+        let mut command = Command::new(&self.program);
+        gateway::output(command.arg("members").args(["--operator", &file]).args(words))
     }
 
     /// Any of its sub-commands that ask a running member.
     pub fn runs_words(&self, p: usize, words: &[&str]) -> Output {
         let file = self.places[p].file.display().to_string();
-        Command::new(&self.program).args(words).args(["--operator", &file]).output().unwrap()
+        gateway::output(Command::new(&self.program).args(words).args(["--operator", &file]))
     }
 
     /// Until this process's copies go by a layout that counts alone, and all its holders promise what they answer.
