Calls to discovery: none beside an answer that goes on, none in a spin; the stand's counts

Need: a long list that still comes should not be called for again beside it, which would double what discovery sends in a large fleet; and an agent that breaks each watch right after a whole list, or answers watches at once, was called without a pause.

Change: a further call waits for a quarter of the grace after the last byte, a body has 2 s; calls begin 20 ms apart at least; only a failure a second after the last one is followed by a call at once.

A value may stand in quotes or not now.

--- a/gateway/src/list_http.rs
+++ b/gateway/src/list_http.rs
@@ -47,7 +47,7 @@
     }
 }
 
-/// When the first bytes of an answer have come; shared between the call and whoever waits for it.
+/// When bytes of an answer have come last; shared between the call and whoever waits for it.
 pub type Answering = Rc<Cell<Option<Instant>>>;
 
 /// A whole answer, and its connection where that may be used again.
@@ -129,26 +129,26 @@
     answering.set(Some(now()));
     let head = read_head(&head)?;
     let body = match head.framing {
-        Framing::Chunked => read_chunks(&mut link).await,
+        Framing::Chunked => read_chunks(&mut link, answering).await,
         Framing::Length(length) => {
             let mut body = Vec::new();
-            read_body(&mut link, &mut body, length).await.map(|()| body)
+            read_body(&mut link, &mut body, length, answering).await.map(|()| body)
         }
-        Framing::Close => read_to_close(&mut link).await,
+        Framing::Close => read_to_close(&mut link, answering).await,
     };
     let body = body.map_err(CallError::Broken)?;
     Ok(CallAnswer { body, kept: (!head.closes).then_some(link) })
 }
 
-async fn read_chunks(link: &mut Link) -> io::Result<Vec<u8>> {
+async fn read_chunks(link: &mut Link, answering: &Answering) -> io::Result<Vec<u8>> {
     let mut body = Vec::new();
     loop {
         let line = read_to(link, b"\r\n").await?;
         let digits = line.trim_end().split(';').next().unwrap_or_default().trim();
         let size = usize::from_str_radix(digits, 16).map_err(|_| garbled())?;
-        read_body(link, &mut body, size).await?;
+        read_body(link, &mut body, size, answering).await?;
         let mut end = Vec::new();
-        read_body(link, &mut end, 2).await?;
+        read_body(link, &mut end, 2, answering).await?;
         if end != b"\r\n" {
             return Err(garbled());
         }
@@ -158,13 +158,13 @@
     }
 }
 
-async fn read_to_close(link: &mut Link) -> io::Result<Vec<u8>> {
+async fn read_to_close(link: &mut Link, answering: &Answering) -> io::Result<Vec<u8>> {
     let mut body = Vec::new();
     loop {
         let there = link.input.len();
-        read_body(link, &mut body, there).await?;
+        read_body(link, &mut body, there, answering).await?;
         match link.read().await {
-            Ok(_) => {}
+            Ok(_) => answering.set(Some(now())),
             // A reset is no end.
             Err(e) if e.kind() == ErrorKind::UnexpectedEof => return Ok(body),
             Err(e) => return Err(e),
@@ -185,7 +185,12 @@
     }
 }
 
-async fn read_body(link: &mut Link, body: &mut Vec<u8>, length: usize) -> io::Result<()> {
+async fn read_body(
+    link: &mut Link,
+    body: &mut Vec<u8>,
+    length: usize,
+    answering: &Answering,
+) -> io::Result<()> {
     if length > LONGEST.saturating_sub(body.len()) {
         return Err(garbled());
     }
@@ -198,5 +203,6 @@
             return Ok(());
         }
         link.read().await?;
+        answering.set(Some(now()));
     }
 }
--- a/src/list_calls.rs
+++ b/src/list_calls.rs
@@ -25,7 +25,11 @@
 /// After a call was left unanswered, the next is waited for so long instead.
 const LONGER_QUEUE_PATIENCE: Tenths = 5_000 * MS;
 /// A list whose first bytes have come is whole within this time.
-const BODY_PATIENCE: Tenths = 1_000 * MS;
+const BODY_PATIENCE: Tenths = 2_000 * MS;
+/// Calls do not begin closer together than this, also where discovery answers watches at once.
+const LEAST_SPACING: Tenths = 20 * MS;
+/// A failure this long after the one before is the first of a row, also where lists came between.
+const ROW_ENDS: Tenths = 1_000 * MS;
 /// Calls that may be out at once to an agent, and how long the oldest of them is kept: a slow agent is heard too.
 const MOST_OUT: usize = 3;
 const LONGEST_OUT: Tenths = 4_000 * MS;
@@ -100,8 +104,9 @@
     /// It continues a watch, so that discovery does not queue it.
     continues: bool,
     began: Tenths,
-    /// When its answer began.
+    /// When its answer began, and when bytes of it came last.
     answering: Option<Tenths>,
+    progressed: Tenths,
 }
 
 /// The calls of one gateway to discovery.
@@ -116,6 +121,8 @@
     /// Calls that have failed in a row, and whether the last of them was a new one that was left unanswered.
     failures: u32,
     unanswered: bool,
+    /// When a call failed last.
+    failed_at: Option<Tenths>,
     /// No call begins before then.
     not_before: Tenths,
     /// In the order in which they began.
@@ -136,6 +143,7 @@
             watching: false,
             failures: 0,
             unanswered: false,
+            failed_at: None,
             not_before: 0,
             out: Vec::new(),
             last_id: 0,
@@ -154,7 +162,7 @@
         self.out.clear();
         self.held = self.held.filter(|_| !self.pushed);
         (self.watching, self.unanswered) = (false, false);
-        (self.failures, self.not_before) = (0, 0);
+        (self.failures, self.failed_at, self.not_before) = (0, None, 0);
     }
 
     pub fn next(&mut self, now: Tenths) -> Step {
@@ -189,10 +197,11 @@
         self.begin_call(now, Call::Whole)
     }
 
-    /// The first bytes of a call's answer have come.
+    /// Bytes of a call's answer have come, by then at the latest.
     pub fn answering(&mut self, id: u64, now: Tenths) {
         if let Some(out) = self.out.iter_mut().find(|out| out.id == id) {
             out.answering.get_or_insert(now);
+            out.progressed = out.progressed.max(now);
         }
     }
 
@@ -216,7 +225,8 @@
         self.out.clear();
         self.held = Some(answer.revision);
         self.watching = matches!(out.call, Call::Watch { .. });
-        (self.failures, self.unanswered, self.not_before) = (0, false, now);
+        (self.failures, self.unanswered) = (0, false);
+        self.not_before = out.began + LEAST_SPACING;
         Verdict::Take
     }
 
@@ -232,7 +242,7 @@
     fn fails(&mut self, now: Tenths, unanswered: bool) {
         self.watching = false;
         self.unanswered = unanswered;
-        let first = self.failures == 0;
+        let first = self.failed_at.replace(now).is_none_or(|before| now - before >= ROW_ENDS);
         self.failures = self.failures.saturating_add(1);
         if self.pushed {
             // What an agent has counts at once, so the first call after a failure does too.
@@ -262,7 +272,14 @@
     fn begin_call(&mut self, now: Tenths, call: Call) -> Step {
         self.last_id += 1;
         let id = self.last_id;
-        self.out.push(Out { id, call, continues: self.watching, began: now, answering: None });
+        self.out.push(Out {
+            id,
+            call,
+            continues: self.watching,
+            began: now,
+            answering: None,
+            progressed: now,
+        });
         Step::Begin { id, call }
     }
 
@@ -286,6 +303,7 @@
 
     /// When an agent that was there would have answered.
     fn late(&self, out: &Out) -> Tenths {
-        out.answering.unwrap_or(out.began + Self::wait(out.call)) + self.retry
+        let due = if out.answering.is_some() { out.progressed } else { out.began + Self::wait(out.call) };
+        due + self.retry
     }
 }
--- a/stands/src/gateway.rs
+++ b/stands/src/gateway.rs
@@ -126,11 +126,11 @@
         .unwrap()
 }
 
-/// What a line of name=count says of a name.
+/// What a line of name=count says of a name; a value may stand in quotes.
 pub fn counted<'a>(line: &'a str, name: &str) -> Option<&'a str> {
-    line.split(' ').find_map(|word| {
-        Some(word.trim_matches('"').strip_prefix(name)?.strip_prefix('=')?.trim_matches('"'))
-    })
+    let mut words = line.split([' ', '"']);
+    let value = words.find_map(|word| word.strip_prefix(name)?.strip_prefix('='))?;
+    if value.is_empty() { words.next() } else { Some(value) }
 }
 
 impl Gateway {
--- a/tests/list_calls.rs
+++ b/tests/list_calls.rs
@@ -157,6 +157,39 @@
     }
 }
 
+#[test]
+fn an_answer_that_goes_on_has_no_other_beside_it_and_one_that_stops_soon_has() {
+    let mut calls = pushed();
+    let mut given_up = 0;
+    let (_, id, _) = begins(&mut calls, 0, &mut given_up);
+    for now in (50 * MS..1_500 * MS).step_by(100 * MS as usize) {
+        calls.answering(id, now);
+        assert!(matches!(calls.next(now), Step::Wait { .. }), "a call beside one that goes on");
+    }
+    let stopped = 1_450 * MS;
+    let (at, _, call) = begins(&mut calls, stopped, &mut given_up);
+    assert_eq!((at, call), (stopped + GRACE / 4, Call::Whole));
+    assert_eq!(given_up, 0);
+}
+
+#[test]
+fn an_agent_that_breaks_every_watch_or_answers_it_at_once_is_not_called_in_a_spin() {
+    for breaks in [true, false] {
+        let mut calls = pushed();
+        let (mut now, mut given_up, mut begun) = (0, 0, 0);
+        while now < 10_000 * MS {
+            let (at, id, call) = begins(&mut calls, now, &mut given_up);
+            (now, begun) = (at, begun + 1);
+            match call {
+                Call::Watch { .. } if breaks => calls.failed(id, now, Failure::Broken),
+                Call::Whole => drop(calls.answered(id, now, Answer { revision: 8, whole: true })),
+                Call::Watch { .. } => drop(calls.answered(id, now, Answer { revision: 8, whole: false })),
+            }
+        }
+        assert!(begun <= 10_000 / 20 + 1, "{begun} calls in 10 s");
+    }
+}
+
 /// A service of fixed capacity in discrete steps of a millisecond, as the protocol describes it.
 struct Service {
     call: Tenths,
