--- a/src/list_calls.rs
+++ b/src/list_calls.rs
@@ -26,7 +26,8 @@
 const LONGER_QUEUE_PATIENCE: Tenths = 5_000 * MS;
 /// A list whose first bytes have come is whole within this time.
 const BODY_PATIENCE: Tenths = 2_000 * MS;
-/// Calls do not begin closer together than this, also where discovery answers watches at once.
+/// A call after an answer that was no newer than what is held does not begin sooner after that answer's call: discovery
+/// may answer watches at once. After a newer one the next begins at once, as a change may follow it.
 const LEAST_SPACING: Tenths = 20 * MS;
 /// A failure this long after the one before is the first of a row, also where lists came between.
 const ROW_ENDS: Tenths = 1_000 * MS;
@@ -223,10 +224,11 @@
             return Verdict::Ignore;
         }
         self.out.clear();
+        let newer = self.held.is_none_or(|held| answer.revision > held);
         self.held = Some(answer.revision);
         self.watching = matches!(out.call, Call::Watch { .. });
         (self.failures, self.unanswered) = (0, false);
-        self.not_before = out.began + LEAST_SPACING;
+        self.not_before = if newer { now } else { out.began + LEAST_SPACING };
         Verdict::Take
     }
 
