A list ends only where discovery refuses at once: a late 503 says it is out of reach

While discovery is down a shared service's front answers 503 after 2.0 s (logs: took_ms 2000; crowded it answers after 5 ms), and watches end with one; the lease took that for a refusal and shed for three to four seconds in an outage in which nothing counts as told.

Change: only a refusal of a new call within 0.5 s shows a discovery that is there. A later one, or no connection, shows one out of reach since that call began: what it had counts 6 s (4 s after a move) after that. What it had when it once refused counts from then on, whatever follows.

--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -10,7 +10,7 @@
 use std::task::Poll;
 
 use leverpoint::interface::{DiscoveryReply, News, Phase, Tenths};
-use leverpoint::list_calls::{Answer, Call, Failure, ListCalls, Step, Verdict};
+use leverpoint::list_calls::{Answer, Call, Failure, ListCalls, Shows, Step, Verdict};
 use leverpoint_exchange::counters::add;
 use leverpoint_exchange::exchange::Exchange;
 use leverpoint_facts::settings::span;
@@ -172,7 +172,11 @@
                     | CallError::NotAList
                     | CallError::TimedOut => Failure::Broken,
                 };
-                self.calls.failed(call.id, at, failure);
+                match self.calls.failed(call.id, at, failure) {
+                    Shows::Refuses => self.exchange.discovery(DiscoveryReply::Refused),
+                    Shows::OutOfReach { ago } => self.exchange.discovery(DiscoveryReply::OutOfReach { ago }),
+                    Shows::Nothing => {}
+                }
                 self.failed(&call, &error);
                 return;
             }
@@ -203,10 +207,7 @@
         add(&counters.list_failures);
         match error {
             CallError::TimedOut => add(&counters.list_timeouts),
-            CallError::Refused(_) => {
-                add(&counters.list_refusals);
-                self.exchange.discovery(DiscoveryReply::Refused);
-            }
+            CallError::Refused(_) => add(&counters.list_refusals),
             _ => {}
         }
         self.record.failed(call, error, self.exchange.list_revision());
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -308,6 +308,7 @@
             Input::List(news, entries) => self.list(*news, entries, out),
             Input::Discovery(DiscoveryReply::Confirmed) => self.lease.confirmed(self.now),
             Input::Discovery(DiscoveryReply::Refused) => self.lease.refused(),
+            Input::Discovery(DiscoveryReply::OutOfReach { ago }) => self.lease.out_of_reach(self.now - ago),
             Input::Discovery(DiscoveryReply::Moved) => self.lease.moved(self.now),
             Input::Arrived(arrival) => self.arrived(arrival, out),
             Input::Ended(end) => self.ended(end, out),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -173,6 +173,8 @@
     Confirmed,
     /// It could be reached and has told nothing.
     Refused,
+    /// It could not be reached while a call was out, which began so long ago.
+    OutOfReach { ago: Tenths },
     /// It is called at another address from now on.
     Moved,
 }
--- a/src/list_calls.rs
+++ b/src/list_calls.rs
@@ -26,6 +26,9 @@
 const LONGER_QUEUE_PATIENCE: Tenths = 5_000 * MS;
 /// A list whose first bytes have come is whole within this time.
 const BODY_PATIENCE: Tenths = 2_000 * MS;
+/// A new call that is refused sooner was turned away by a discovery that is there and has no room. A later refusal is
+/// that of something before it that has waited for it in vain.
+const QUICK_REFUSAL: Tenths = 500 * MS;
 /// A call after an answer that was no newer than what is held does not begin sooner after that answer's call: discovery
 /// may answer watches at once. After a newer one the next begins at once, as a change may follow it.
 const LEAST_SPACING: Tenths = 20 * MS;
@@ -82,6 +85,18 @@
     Broken,
 }
 
+/// What a failed call shows of discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shows {
+    /// It could be reached, and has told nothing.
+    Refuses,
+    /// It could not be reached while the call was out, which began so long ago.
+    OutOfReach {
+        ago: Tenths,
+    },
+    Nothing,
+}
+
 /// A list as far as it matters here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Answer {
@@ -233,11 +248,17 @@
     }
 
     /// A call has ended without a list.
-    pub fn failed(&mut self, id: u64, now: Tenths, _failure: Failure) {
-        let before = self.out.len();
-        self.out.retain(|out| out.id != id);
-        if self.out.len() < before {
-            self.fails(now, false);
+    pub fn failed(&mut self, id: u64, now: Tenths, failure: Failure) -> Shows {
+        let Some(at) = self.out.iter().position(|out| out.id == id) else { return Shows::Nothing };
+        let out = self.out.remove(at);
+        self.fails(now, false);
+        let ago = now - out.began;
+        match failure {
+            // The end of a watch that was open tells nothing of who ended it.
+            Failure::Refused if out.continues => Shows::Nothing,
+            Failure::Refused if ago < QUICK_REFUSAL => Shows::Refuses,
+            Failure::Refused | Failure::Unreachable => Shows::OutOfReach { ago },
+            Failure::Broken => Shows::Nothing,
         }
     }
 
--- a/src/list_lease.rs
+++ b/src/list_lease.rs
@@ -28,6 +28,8 @@
     confirmed: Option<Tenths>,
     /// Discovery has been elsewhere since then, and has not confirmed the list there.
     moved: Option<Tenths>,
+    /// Discovery could not be reached at that time, before it refused any call since the list was confirmed.
+    out_of_reach: Option<Tenths>,
     /// Discovery has refused a call since.
     refused: bool,
 }
@@ -35,7 +37,7 @@
 impl ListLease {
     pub fn new(pushed: bool, drain_grace: Tenths) -> Self {
         let grace = (!pushed).then_some(drain_grace - MARGIN);
-        ListLease { grace, confirmed: None, moved: None, refused: false }
+        ListLease { grace, confirmed: None, moved: None, out_of_reach: None, refused: false }
     }
 
     /// The process has begun, by then at the latest.
@@ -45,7 +47,8 @@
 
     /// Discovery has told what the list is at that time.
     pub fn confirmed(&mut self, now: Tenths) {
-        (self.confirmed, self.moved, self.refused) = (Some(now), None, false);
+        (self.confirmed, self.moved) = (Some(now), None);
+        (self.out_of_reach, self.refused) = (None, false);
     }
 
     /// A new configuration names another address for discovery.
@@ -53,6 +56,13 @@
         self.moved.get_or_insert(now);
     }
 
+    /// Discovery could not be reached then. What it has had meanwhile counts as told only so long after it can be again.
+    pub fn out_of_reach(&mut self, then: Tenths) {
+        if !self.refused {
+            self.out_of_reach = self.out_of_reach.max(Some(then));
+        }
+    }
+
     /// Discovery could be reached and has told nothing.
     pub fn refused(&mut self) {
         self.refused = true;
@@ -60,8 +70,9 @@
 
     /// From when on nothing may be sent by the list; none while nothing counts as told.
     pub fn ends(&self) -> Option<Tenths> {
-        let told = self.confirmed.filter(|_| self.refused)? + COUNTS_AS_TOLD;
-        let after_move = self.moved.map_or(Tenths::MAX, |moved| moved + COUNTS_AFTER_MOVE);
+        let since = |from: Tenths| self.out_of_reach.map_or(from, |reach| reach.max(from));
+        let told = since(self.confirmed.filter(|_| self.refused)?) + COUNTS_AS_TOLD;
+        let after_move = self.moved.map_or(Tenths::MAX, |moved| since(moved) + COUNTS_AFTER_MOVE);
         self.grace.map(|grace| told.min(after_move) + grace)
     }
 
--- a/tests/list_calls.rs
+++ b/tests/list_calls.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use leverpoint::interface::Tenths;
-use leverpoint::list_calls::{Answer, Call, Failure, ListCalls, Step, Verdict};
+use leverpoint::list_calls::{Answer, Call, Failure, ListCalls, Shows, Step, Verdict};
 
 const MS: Tenths = 10;
 const GRACE: Tenths = 500 * MS;
@@ -181,7 +181,7 @@
             let (at, id, call) = begins(&mut calls, now, &mut given_up);
             (now, begun) = (at, begun + 1);
             match call {
-                Call::Watch { .. } if breaks => calls.failed(id, now, Failure::Broken),
+                Call::Watch { .. } if breaks => drop(calls.failed(id, now, Failure::Broken)),
                 Call::Whole => drop(calls.answered(id, now, Answer { revision: 8, whole: true })),
                 Call::Watch { .. } => drop(calls.answered(id, now, Answer { revision: 8, whole: false })),
             }
@@ -191,6 +191,23 @@
     }
 }
 
+#[test]
+fn only_a_quick_refusal_of_a_new_call_shows_a_discovery_that_is_there() {
+    let mut given_up = 0;
+    let mut calls = asked(1);
+    let (at, id, _) = begins(&mut calls, 0, &mut given_up);
+    assert_eq!(calls.failed(id, at + 6 * MS, Failure::Refused), Shows::Refuses);
+    let (at, id, _) = begins(&mut calls, at, &mut given_up);
+    let late = Shows::OutOfReach { ago: 2_000 * MS };
+    assert_eq!(calls.failed(id, at + 2_000 * MS, Failure::Refused), late, "it was waited for in vain");
+    let (at, id, _) = begins(&mut calls, at, &mut given_up);
+    assert_eq!(calls.failed(id, at + 1, Failure::Unreachable), Shows::OutOfReach { ago: 1 });
+    let (at, id, _) = begins(&mut calls, at, &mut given_up);
+    assert_eq!(calls.answered(id, at, Answer { revision: 8, whole: false }), Verdict::Take);
+    let (at, id, _) = begins(&mut calls, at, &mut given_up);
+    assert_eq!(calls.failed(id, at + 6 * MS, Failure::Refused), Shows::Nothing, "a watch that was open");
+}
+
 /// A service of fixed capacity in discrete steps of a millisecond, as the protocol describes it.
 struct Service {
     call: Tenths,
--- a/tests/list_lease.rs
+++ b/tests/list_lease.rs
@@ -39,3 +39,19 @@
     lease.refused();
     assert_eq!(lease.ends(), None);
 }
+
+#[test]
+fn what_discovery_had_out_of_reach_counts_from_its_return() {
+    let mut lease = ListLease::new(false, 400 * MS);
+    lease.confirmed(1_000 * MS);
+    lease.out_of_reach(2_000 * MS);
+    lease.out_of_reach(5_000 * MS);
+    assert_eq!(lease.ends(), None);
+    lease.refused();
+    assert_eq!(lease.ends(), Some(11_100 * MS));
+    // What it had when it refused counts from then on, whatever follows.
+    lease.out_of_reach(9_000 * MS);
+    assert_eq!(lease.ends(), Some(11_100 * MS));
+    lease.moved(4_000 * MS);
+    assert_eq!(lease.ends(), Some(9_100 * MS));
+}
