One list age and one test of the lease; a comment that named the whole list only

Read once more: the log's record kept the time of the last answer beside the exchange's own, the look before a request's first byte compared the lease's end with the clock where ListLease::has_ended does so, and follow()'s comment said that a moved discovery is called for the whole list, which holds for pushed lists only.

Change: the record asks the exchange for the list's age; Decider lends its lease; the comment says what is done. Behaviour stays.

--- a/exchange/src/exchange.rs
+++ b/exchange/src/exchange.rs
@@ -284,8 +284,7 @@
 
     /// Whether the list may still be gone by.
     fn list_holds(&self) -> bool {
-        let ends = self.exchange.inner.borrow().decider.list_ends();
-        ends.is_none_or(|end| self.exchange.clock.now() < end)
+        !self.exchange.inner.borrow().decider.lease().has_ended(self.exchange.clock.now())
     }
 
     /// Whether the server has not been drained, moved or started again since this was decided, and is not gone.
@@ -1185,7 +1184,7 @@
 
     /// How old the list is that is gone by, and how long it may still be; none where that has no end.
     pub fn list_age(&self) -> (Option<Duration>, Option<Duration>) {
-        let ends = self.inner.borrow().decider.list_ends();
+        let ends = self.inner.borrow().decider.lease().ends();
         let left = ends.map(|end| span((end - self.clock.now()).max(0)));
         (self.confirmed.get().map(since), left)
     }
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -45,8 +45,8 @@
     }
 }
 
-/// Follows the list for as long as the gateway runs. Discovery elsewhere is called for the whole list at once, whatever
-/// was being waited for; until it has answered the list stands as it is.
+/// Follows the list for as long as the gateway runs. Discovery elsewhere is called at once, whatever was being waited for;
+/// until it has answered the list stands as it is.
 pub async fn follow(agent: Rc<Whereabouts>, exchange: Rc<Exchange>, log: slog::Logger) {
     let mut follower = Follower::new(&agent, exchange, log);
     loop {
@@ -210,7 +210,7 @@
             CallError::Refused(_) => add(&counters.list_refusals),
             _ => {}
         }
-        self.record.failed(call, error, self.exchange.list_revision());
+        self.record.failed(call, error, &self.exchange);
     }
 }
 
@@ -234,12 +234,11 @@
     /// Calls failed since the last answer, and when the first of them was found out.
     failures: u64,
     failing_since: Option<Instant>,
-    last_answer: Option<Instant>,
 }
 
 impl CallRecord {
     fn new(log: slog::Logger) -> Self {
-        CallRecord { log, failures: 0, failing_since: None, last_answer: None }
+        CallRecord { log, failures: 0, failing_since: None }
     }
 
     fn answered(&mut self, list: &ServerList) {
@@ -248,7 +247,6 @@
                 "failed_calls" => self.failures, "failing_ms" => since(began).as_millis());
         }
         self.failures = 0;
-        self.last_answer = Some(now());
         let named = |phase: Phase| {
             let of_phase = list.entries.iter().filter(|entry| entry.phase == phase);
             of_phase.take(NAMED_IN_LOG).map(|entry| entry.uid.as_str()).collect::<Vec<_>>().join(" ")
@@ -259,14 +257,15 @@
         }
     }
 
-    /// `held`: the revision that the gateway goes by meanwhile.
-    fn failed(&mut self, call: &InFlight, error: &CallError, held: u64) {
+    fn failed(&mut self, call: &InFlight, error: &CallError, exchange: &Exchange) {
         self.failures += 1;
         self.failing_since.get_or_insert_with(now);
         if self.failures.is_power_of_two() {
+            let (age, _) = exchange.list_age();
             slog::warn!(self.log, "discovery failed"; "why" => error.to_string(), "call" => &call.path,
-                "took_ms" => since(call.began).as_millis(), "failed_calls" => self.failures, "held" => held,
-                "list_age_ms" => self.last_answer.map(|at| since(at).as_millis() as u64));
+                "took_ms" => since(call.began).as_millis(), "failed_calls" => self.failures,
+                "held" => exchange.list_revision(),
+                "list_age_ms" => age.map(|age| age.as_millis() as u64));
         }
     }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -342,9 +342,9 @@
         }
     }
 
-    /// From when on nothing may be sent, as the list that is held may be too old by then.
-    pub fn list_ends(&self) -> Option<Tenths> {
-        self.lease.ends()
+    /// How long the list that is held may be gone by.
+    pub fn lease(&self) -> &ListLease {
+        &self.lease
     }
 
     fn step(&mut self, cmd: usize, seen: Seen, out: &mut Vec<Effect>) {
