Shutdown: what can't be answered before the end is shed and not sent

Cause: the router knew nothing of the shutdown. The first attempt times out 3.5 s after it was sent, the open requests end 3.45 s after SIGTERM; with more than 50 ms between the two the attempt times out first and the next request is sent with its client's whole deadline, to be ended a moment later.

Change: SIGTERM is an event of the router. The earlier of the client's deadline and the end bounds whether and until when an attempt starts, its time-out and the time that a server is told; what is left without time is shed at once, with no time to retry after, as another gateway can take it.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -57,6 +57,7 @@
     AttemptFinished(AttemptReport),
     ClientDisconnected(usize),
     PrimariesAnnounced(Vec<PrimaryAnnouncement>),
+    ShutdownScheduled(Ticks),
     TimerExpired(u32),
     ProbeFinished {
         server: usize,
@@ -75,6 +76,7 @@
             EngineEvent::EndpointList(..)
             | EngineEvent::Discovery(_)
             | EngineEvent::PrimariesAnnounced(_)
+            | EngineEvent::ShutdownScheduled(_)
             | EngineEvent::TimerExpired(_)
             | EngineEvent::ProbeFinished { .. } => None,
         }
@@ -180,8 +182,9 @@
     }
 
     /// Ends all requests at `deadline`: what is still open then is answered without a server's answer, and so is at once
-    /// what comes later.
-    pub async fn end_requests_at(&self, deadline: Instant) {
+    /// what comes later. What could not be answered by then is not sent to a server any more.
+    pub async fn end_requests_at(self: &Rc<Self>, deadline: Instant) {
+        self.take(EngineEvent::ShutdownScheduled(self.clock.at(deadline)));
         sleep_until(deadline).await;
         let preparing = {
             let mut requests = self.requests.borrow_mut();
@@ -276,6 +279,7 @@
             EngineEvent::PrimariesAnnounced(announcements) => {
                 tell(&RoutingEvent::PrimariesAnnounced(&announcements));
             }
+            EngineEvent::ShutdownScheduled(at) => tell(&RoutingEvent::ShutdownScheduled(at)),
             EngineEvent::TimerExpired(key) => tell(&RoutingEvent::TimerExpired(key)),
             EngineEvent::ProbeFinished {
                 server,
--- a/crates/gateway/tests/pipelined.rs
+++ b/crates/gateway/tests/pipelined.rs
@@ -283,6 +283,30 @@
     );
 }
 
+/// Sent as the process was about to end, a request behind a hung one was answered as possibly executed.
+#[test]
+fn a_pipelined_request_that_shutdown_leaves_no_time_for_is_shed_and_never_sent() {
+    let primary = server("read-write", vec![Does::Silence]);
+    let mut gateway = gateway(&[(&primary.address, "read-write")], 60_000, 1024);
+    let mut client = gateway.client();
+    client.send(&[(); 3].map(|()| query(&insert("order"))).concat());
+    heard(&primary);
+    // The attempt of the first is given up after 3.5 s, the open requests 3.45 s after the signal.
+    thread::sleep(SHOWS);
+    gateway.signal("-TERM");
+    assert_eq!(client.answer(), "E C58000 Z");
+    for _ in 0..2 {
+        let shed = client.answer();
+        assert!(shed.starts_with("E C53300"), "{shed}");
+    }
+    assert!(gateway.child.wait().unwrap().success());
+    let statements: Vec<_> = primary.heard.try_iter().collect();
+    assert!(
+        statements.iter().all(|text| text == "closed"),
+        "{statements:?}"
+    );
+}
+
 #[test]
 fn requests_before_an_invalid_message_are_answered_and_none_behind_it_is_sent() {
     let (go, waits) = waits("one");
--- a/crates/routing/src/api.rs
+++ b/crates/routing/src/api.rs
@@ -198,6 +198,8 @@
     },
     /// Announcements of primaries from another gateway.
     PrimariesAnnounced(&'a [PrimaryAnnouncement]),
+    /// The gateway shuts down: all requests are ended at this time.
+    ShutdownScheduled(Ticks),
 }
 
 /// An output of the router, to be carried out by its caller.
--- a/crates/routing/src/cluster_state.rs
+++ b/crates/routing/src/cluster_state.rs
@@ -26,6 +26,8 @@
     pub(crate) warm_throughput: WarmThroughput,
     /// Highest priority weight per tick of all classes.
     pub(crate) max_weight_per_tick: f64,
+    /// When all requests are ended; `None` while the gateway does not shut down.
+    shutdown_at: Option<Ticks>,
     throughput_decayed_at: Ticks,
     decay_checked_at: Ticks,
 }
@@ -112,12 +114,24 @@
             recent_outcomes: RecentOutcomes::default(),
             warm_throughput: WarmThroughput::default(),
             max_weight_per_tick: f64::MIN_POSITIVE,
+            shutdown_at: None,
             throughput_decayed_at: 0,
             decay_checked_at: 0,
             config,
         }
     }
 
+    /// All requests are ended at this time, whatever their deadlines.
+    pub(crate) fn schedule_shutdown(&mut self, at: Ticks) {
+        self.shutdown_at = Some(at);
+    }
+
+    /// By when a request with this deadline of its client has to be answered.
+    pub(crate) fn answer_by(&self, client_deadline: Ticks) -> Ticks {
+        self.shutdown_at
+            .map_or(client_deadline, |at| at.min(client_deadline))
+    }
+
     /// The replica set of this index, new if it is not known yet.
     pub(crate) fn set_mut(&mut self, set: usize) -> &mut ReplicaSet {
         if self.sets.len() <= set {
--- a/crates/routing/src/rejection.rs
+++ b/crates/routing/src/rejection.rs
@@ -13,7 +13,7 @@
         .objective_left(class.config.latency_objective, cluster.now);
     let latest_start = cluster
         .retry_policy(request.class)
-        .latest_start(&request.attempts, request.timing.deadline);
+        .latest_start(&request.attempts, answer_by(cluster, request));
     time_left(cluster, request) < half_answer.max(1)
         || has_waited_enough(cluster, request)
         || request.attempts.started >= cluster.config.permissions.max_attempts
@@ -21,9 +21,15 @@
         || cluster.now >= latest_start
 }
 
-/// Time until the deadline, less what handing over a request and its answer takes.
+/// By when a request has to be answered: its client's deadline, or the gateway's shutdown if that is
+/// earlier.
+pub(crate) fn answer_by(cluster: &ClusterState, request: &RequestState) -> Ticks {
+    cluster.answer_by(request.timing.deadline)
+}
+
+/// Time until a request has to be answered, less what handing over it and its answer takes.
 pub(crate) fn time_left(cluster: &ClusterState, request: &RequestState) -> Ticks {
-    request.timing.deadline - cluster.now - 2 * cluster.config.batch_interval
+    answer_by(cluster, request) - cluster.now - 2 * cluster.config.batch_interval
 }
 
 /// Whether a request that no server has received is to be given up near half of its time, so its
@@ -59,7 +65,9 @@
     // What the request waited for may be over after the time of its latency objective.
     let objective = cluster.classes[request.class].config.latency_objective;
     let permissions = &cluster.config.permissions;
-    let retry_after = if permissions.retry_after {
+    // Where only this gateway's shutdown is in the way, another gateway can take the request at once.
+    let ended_by_shutdown = answer_by(cluster, request) < request.timing.deadline;
+    let retry_after = if permissions.retry_after && !ended_by_shutdown {
         objective.min(permissions.max_retry_after)
     } else {
         0
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -104,6 +104,10 @@
             Event::PrimariesAnnounced(announcements) => {
                 self.on_primaries_announced(announcements, actions);
             }
+            Event::ShutdownScheduled(at) => {
+                self.cluster.schedule_shutdown(*at);
+                self.requeue_waiting();
+            }
         }
     }
 
@@ -278,7 +282,7 @@
         let timeout = class.attempt_timeout(left, cluster.replica_hold());
         let start_by = cluster
             .retry_policy(request.class)
-            .latest_start(&request.attempts, request.timing.deadline);
+            .latest_start(&request.attempts, rejection::answer_by(cluster, request));
         let balance = cluster.warmup_balance(server);
         let state = &mut cluster.servers[server];
         state
--- a/crates/routing/tests/traces/retries.rs
+++ b/crates/routing/tests/traces/retries.rs
@@ -142,3 +142,19 @@
     router.advance_ms(400);
     assert_snapshot!(router.trace());
 }
+
+/// Attempts that could not end before the gateway did were still started, and failed as possibly executed.
+#[test]
+fn request_without_time_before_shutdown_is_shed_and_not_attempted() {
+    let mut router = RouterTrace::with_set(config());
+    router.arrive(0, PLAIN_WRITE, None);
+    router.shut_down_in(300 * MS);
+    // The typical latency is 100 ms.
+    router.advance_ms(200);
+    router.arrive(1, PLAIN_WRITE, None);
+    router.advance_ms(50);
+    router.finish_attempt(0, 0, AttemptOutcome::TimedOut, None);
+    router.arrive(2, PLAIN_WRITE, None);
+    router.arrive(3, ANY_READ, None);
+    assert_snapshot!(router.trace());
+}
--- a/crates/routing/tests/traces/router_trace.rs
+++ b/crates/routing/tests/traces/router_trace.rs
@@ -246,6 +246,15 @@
         );
     }
 
+    /// The gateway shuts down and ends all requests after this time.
+    pub(crate) fn shut_down_in(&mut self, left: Ticks) {
+        let at = self.now + left;
+        self.take(
+            &format!("shutdown in {} ms", left / MS),
+            &Event::ShutdownScheduled(at),
+        );
+    }
+
     /// Advances the time, with an expired timer every 10 ms.
     pub(crate) fn advance_ms(&mut self, ms: Ticks) {
         for _ in 0..ms / 10 {
