Shutdown: requests with seconds left are served, unresponsive primaries get no write

Change: before the shutdown a request is given up with less than half of a usual answer left, 0.5 s at most. What keeps a write from being sent behind a hung one is evidence in place of the guess: while the gateway shuts down, a primary that has left an attempt without a response gets no further write until it responds; what waits is shed at the end.

--- a/crates/routing/src/cluster_state.rs
+++ b/crates/routing/src/cluster_state.rs
@@ -126,6 +126,11 @@
         self.shutdown_at = Some(at);
     }
 
+    /// Whether the gateway shuts down.
+    pub(crate) fn is_shutting_down(&self) -> bool {
+        self.shutdown_at.is_some()
+    }
+
     /// By when a request with this deadline of its client has to be answered.
     pub(crate) fn answer_by(&self, client_deadline: Ticks) -> Ticks {
         self.shutdown_at
--- a/crates/routing/src/outlier_detection.rs
+++ b/crates/routing/src/outlier_detection.rs
@@ -113,6 +113,12 @@
         self.unconfirmed_timeouts >= UNCONFIRMED_TIMEOUTS
     }
 
+    /// Whether an attempt has ended without a response, and the server has not responded since.
+    #[must_use]
+    pub fn is_unresponsive(&self) -> bool {
+        self.unanswered_attempts > 0
+    }
+
     /// Records that the server was started anew.
     pub fn on_restart(&mut self) {
         self.ejected_until = 0;
--- a/crates/routing/src/primary_selection.rs
+++ b/crates/routing/src/primary_selection.rs
@@ -22,7 +22,7 @@
     if let Some(primary) = cluster.sets[request.set].primary.server() {
         let admitted =
             cluster.usable(primary).is_some() && admission::has_capacity(cluster, request, primary);
-        return admitted.then_some(primary);
+        return (admitted && !is_hung_at_shutdown(cluster, primary)).then_some(primary);
     }
     if !may_search(cluster, request) {
         return None;
@@ -32,6 +32,15 @@
     Some(member)
 }
 
+/// Whether the gateway shuts down and the primary has left an attempt without a response since it
+/// last responded.
+///
+/// There is no time left to find out whether it hangs: a request that waits can be shed at the end,
+/// one that was sent may have been executed.
+fn is_hung_at_shutdown(cluster: &ClusterState, primary: usize) -> bool {
+    cluster.is_shutting_down() && cluster.servers[primary].health.is_unresponsive()
+}
+
 /// Whether a request may try members while the primary is unknown.
 ///
 /// It may use half of its attempts. Once no member of the set has been tried or has reported for a
--- a/crates/routing/src/rejection.rs
+++ b/crates/routing/src/rejection.rs
@@ -1,9 +1,13 @@
 //! When a request is given up, and how it is rejected.
 
-use crate::api::{Action, Ticks};
+use crate::api::{Action, MILLISECOND, Ticks};
 use crate::cluster_state::ClusterState;
 use crate::request_state::RequestState;
 
+/// Time before the gateway's shutdown within which a request may be given up. Half of a usual answer
+/// is less, but for a class without answers the usual one is a guess.
+const MAX_SHUTDOWN_MARGIN: Ticks = 500 * MILLISECOND;
+
 /// Whether a request can no longer be answered in time, or may not be attempted again.
 pub(crate) fn is_hopeless(cluster: &ClusterState, request: &RequestState) -> bool {
     let class = &cluster.classes[request.class];
@@ -14,7 +18,12 @@
     let latest_start = cluster
         .retry_policy(request.class)
         .latest_start(&request.attempts, answer_by(cluster, request));
-    time_left(cluster, request) < half_answer.max(1)
+    let least_time = if ends_by_shutdown(cluster, request) {
+        half_answer.min(MAX_SHUTDOWN_MARGIN)
+    } else {
+        half_answer
+    };
+    time_left(cluster, request) < least_time.max(1)
         || has_waited_enough(cluster, request)
         || request.attempts.started >= cluster.config.permissions.max_attempts
         || (class.config.late_factor <= 0.0 && objective_left < half_answer)
@@ -27,6 +36,11 @@
     cluster.answer_by(request.timing.deadline)
 }
 
+/// Whether the gateway's shutdown comes before a request's deadline.
+fn ends_by_shutdown(cluster: &ClusterState, request: &RequestState) -> bool {
+    answer_by(cluster, request) < request.timing.deadline
+}
+
 /// Time until a request has to be answered, less what handing over it and its answer takes.
 pub(crate) fn time_left(cluster: &ClusterState, request: &RequestState) -> Ticks {
     answer_by(cluster, request) - cluster.now - 2 * cluster.config.batch_interval
@@ -66,8 +80,7 @@
     let objective = cluster.classes[request.class].config.latency_objective;
     let permissions = &cluster.config.permissions;
     // Where only this gateway's shutdown is in the way, another gateway can take the request at once.
-    let ended_by_shutdown = answer_by(cluster, request) < request.timing.deadline;
-    let retry_after = if permissions.retry_after && !ended_by_shutdown {
+    let retry_after = if permissions.retry_after && !ends_by_shutdown(cluster, request) {
         objective.min(permissions.max_retry_after)
     } else {
         0
--- a/crates/routing/tests/traces/retries.rs
+++ b/crates/routing/tests/traces/retries.rs
@@ -158,3 +158,19 @@
     router.arrive(3, ANY_READ, None);
     assert_snapshot!(router.trace());
 }
+
+/// A write behind one that a hung primary had not answered was sent to it during the shutdown.
+#[test]
+fn write_during_shutdown_waits_for_an_unresponsive_primary_to_respond() {
+    let mut router = RouterTrace::with_set(config());
+    router.arrive(0, PLAIN_WRITE, None);
+    router.arrive(1, PLAIN_WRITE, None);
+    router.shut_down_in(1500 * MS);
+    router.advance_ms(400);
+    router.finish_attempt(0, 0, AttemptOutcome::TimedOut, None);
+    router.arrive(2, PLAIN_WRITE, None);
+    router.advance_ms(400);
+    router.finish_attempt(1, 0, AttemptOutcome::Answered, Some((true, 0)));
+    router.advance_ms(10);
+    assert_snapshot!(router.trace());
+}
