--- a/crates/routing/tests/traces/retries.rs
+++ b/crates/routing/tests/traces/retries.rs
@@ -169,7 +169,7 @@
     router.advance_ms(400);
     router.finish_attempt(0, 0, AttemptOutcome::TimedOut, None);
     router.arrive(2, PLAIN_WRITE, None);
-    router.advance_ms(400);
+    router.advance_ms(100);
     router.finish_attempt(1, 0, AttemptOutcome::Answered, Some((true, 0)));
     router.advance_ms(10);
     assert_snapshot!(router.trace());
