Members: a fleet's first layout is an operator's act, not its founders' own

Cause: at version 0 the founders agreed on a layout as soon as all of them were alive, and nothing tells a new fleet from one whose founders are all blank.

The stage of real processes and the simulator ask for it as an operator would, only while no layout was ever agreed on.

One option is added to the surface that operators rely on; nothing of it is changed.

--- a/crates/gateway/src/cli/members.rs
+++ b/crates/gateway/src/cli/members.rs
@@ -18,7 +18,14 @@
 pub(super) struct Options {
     member: MemberAddress,
     json: bool,
-    remove: Option<String>,
+    change: Option<LayoutRequest>,
+}
+
+/// A change of the layout that an operator asks for.
+#[derive(Clone, Debug)]
+enum LayoutRequest {
+    Remove(String),
+    Bootstrap,
 }
 
 /// Parses the options.
@@ -26,10 +33,14 @@
     let member = member_address();
     let json = long("json").help("One object of JSON").switch();
     let remove = long("remove").help("Has a holder that does not come back leave the layout");
-    let remove = remove.argument::<String>("NAME").optional();
+    let remove = remove.argument::<String>("NAME").map(LayoutRequest::Remove);
+    let bootstrap = long("bootstrap")
+        .help("Has the founders of a new fleet agree on a layout")
+        .req_flag(LayoutRequest::Bootstrap);
+    let change = construct!([remove, bootstrap]).optional();
     let all = construct!(Options {
         json,
-        remove,
+        change,
         member
     });
     all.to_options()
@@ -80,8 +91,9 @@
 
 /// Asks the member and formats its answer.
 pub(super) fn run(options: &Options) -> Result<Output, String> {
-    let question = match &options.remove {
-        Some(name) => AdminRequest::Remove { name: name.clone() },
+    let question = match &options.change {
+        Some(LayoutRequest::Remove(name)) => AdminRequest::Remove { name: name.clone() },
+        Some(LayoutRequest::Bootstrap) => AdminRequest::Bootstrap,
         None => AdminRequest::Members,
     };
     match ask_member(&options.member, question)? {
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -76,18 +76,18 @@
             if kept.is_none() {
                 slog::error!(
                     log,
-                    "member state is of another program; its memory is lost"
+                    "member state is of another program; its storage is lost"
                 );
             }
             kept
         }
         Ok(snapshot::SnapshotRead::Missing) => None,
         Ok(snapshot::SnapshotRead::Corrupt) => {
-            slog::error!(log, "member state is corrupt; its memory is lost");
+            slog::error!(log, "member state is corrupt; its storage is lost");
             None
         }
         Err(e) => {
-            slog::error!(log, "member state can't be read; its memory is lost"; "why" => e.to_string());
+            slog::error!(log, "member state can't be read; its storage is lost"; "why" => e.to_string());
             None
         }
     }
@@ -302,6 +302,12 @@
         MembershipEvent::Paused { duration: span } => {
             slog::warn!(log, "member was paused"; "ms" => span / 10);
         }
+        MembershipEvent::BootstrapMissing => {
+            slog::warn!(
+                log,
+                "no layout known; a new fleet needs `leverpoint members --bootstrap` once"
+            );
+        }
         MembershipEvent::PersistenceFailed => {
             slog::error!(log, "member disk failed; no longer voting");
         }
--- a/crates/membership/src/action.rs
+++ b/crates/membership/src/action.rs
@@ -98,6 +98,8 @@
     },
     /// Storage has failed, so this member casts no votes any more.
     PersistenceFailed,
+    /// All founders are alive, none of them knows of a layout, and no operator has asked for the first one.
+    BootstrapMissing,
 }
 
 /// An effect requested by a [`Member`](crate::Member), to be carried out in the order given.
--- a/crates/membership/src/member/proposing.rs
+++ b/crates/membership/src/member/proposing.rs
@@ -1,8 +1,9 @@
 //! This member's proposals for the next layout: when it proposes, which change, and how the votes are counted.
 
 use super::Member;
+use super::voting::BootstrapRequest;
 use crate::Ticks;
-use crate::action::MembershipStatus;
+use crate::action::{MembershipEvent, MembershipStatus};
 use crate::consensus::{AcceptorReply, Ballot, LayoutChange, Proposal, ProposalStep};
 use crate::layout::{Layout, MAX_HOLDERS, ReplicaHolder};
 use crate::member_status::MemberStatus;
@@ -42,6 +43,24 @@
         Ok(())
     }
 
+    /// Requests the first layout, of the founders with the storage that they have now.
+    ///
+    /// The request lasts until there is a layout, and no longer than this process.
+    ///
+    /// # Errors
+    ///
+    /// The reason why the request is refused, as shown to the operator.
+    pub fn bootstrap(&mut self) -> Result<(), &'static str> {
+        if self.voting.layout.version > 0 {
+            return Err("the fleet has a layout already");
+        }
+        if !self.can_vote() {
+            return Err("this member is no founder: ask one that is");
+        }
+        self.voting.bootstrap = BootstrapRequest::Requested;
+        Ok(())
+    }
+
     fn is_participant(&self, name: &str) -> bool {
         let entry = self.table.find(name);
         entry.is_some_and(|(_, entry)| entry.is_participating())
@@ -55,7 +74,7 @@
     /// The change wanted of the next layout, as far as members themselves or an operator have asked for it.
     fn wanted_change(&mut self, now: Ticks) -> Option<LayoutChange> {
         if self.voting.layout.version == 0 {
-            return self.all_founders_alive().then_some(LayoutChange::Bootstrap);
+            return self.wanted_bootstrap();
         }
         if let Some(name) = self.holder_with_lost_storage() {
             return Some(LayoutChange::Remove(name));
@@ -69,6 +88,22 @@
         self.joining_holder(now).map(LayoutChange::Add)
     }
 
+    /// The first layout, once an operator has asked for it and all founders are alive.
+    fn wanted_bootstrap(&mut self) -> Option<LayoutChange> {
+        if !self.all_founders_alive() {
+            return None;
+        }
+        match self.voting.bootstrap {
+            BootstrapRequest::Requested => return Some(LayoutChange::Bootstrap),
+            BootstrapRequest::ReportedMissing => {}
+            BootstrapRequest::Absent => {
+                self.voting.bootstrap = BootstrapRequest::ReportedMissing;
+                self.report(MembershipEvent::BootstrapMissing);
+            }
+        }
+        None
+    }
+
     fn all_founders_alive(&self) -> bool {
         let own_name = &self.local.update.info.name;
         let founders = &self.voting.layout.holders;
@@ -126,6 +161,12 @@
         })
     }
 
+    /// Whether an operator has asked this member for a change.
+    fn has_operator_request(&self) -> bool {
+        let voting = &self.voting;
+        !voting.requested_removals.is_empty() || voting.bootstrap == BootstrapRequest::Requested
+    }
+
     /// Proposes the wanted change, if it is this member's turn.
     pub(super) fn propose(&mut self, now: Ticks) {
         let timed_out = |(_, timeout): &(Proposal, Ticks)| now >= *timeout;
@@ -136,7 +177,7 @@
             || now < self.voting.backoff_until
             || self.local.status != MembershipStatus::Active
             || !self.can_vote()
-            || (self.is_preceded() && self.voting.requested_removals.is_empty())
+            || (self.is_preceded() && !self.has_operator_request())
         {
             return;
         }
--- a/crates/membership/src/member/voting.rs
+++ b/crates/membership/src/member/voting.rs
@@ -14,6 +14,21 @@
 /// Votes that wait to be persisted at most; further ones are not cast.
 const MAX_PENDING_VOTES: usize = 64;
 
+/// Whether this member is to propose the first layout.
+///
+/// A founder whose storage is empty can't tell a new fleet from one whose founders have all lost their storage, so only
+/// an operator can.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum BootstrapRequest {
+    /// Nobody has asked for it, nor has it been reported that it is missing.
+    #[default]
+    Absent,
+    /// It has been reported that the founders wait for it.
+    ReportedMissing,
+    /// An operator has asked for it.
+    Requested,
+}
+
 /// A vote that is given once it has been persisted.
 #[derive(Debug)]
 pub(super) enum PendingVote {
@@ -37,6 +52,7 @@
     pub(super) backoff_until: Ticks,
     pub(super) round: u32,
     pub(super) requested_removals: VecDeque<String>,
+    pub(super) bootstrap: BootstrapRequest,
     pending: VecDeque<(u64, PendingVote)>,
     last_persist_sequence: u64,
 }
@@ -57,6 +73,7 @@
             backoff_until: now,
             round: 0,
             requested_removals: VecDeque::new(),
+            bootstrap: BootstrapRequest::default(),
             pending: VecDeque::new(),
             last_persist_sequence: 0,
         }
@@ -254,6 +271,7 @@
         self.voting.layout = layout;
         self.voting.acceptor = AcceptorState::default();
         self.voting.proposal = None;
+        self.voting.bootstrap = BootstrapRequest::default();
         self.counters.layouts_adopted += 1;
         self.report(MembershipEvent::LayoutChanged { version, holders });
         self.persist();
--- a/crates/membership/tests/members.rs
+++ b/crates/membership/tests/members.rs
@@ -53,6 +53,50 @@
     insta::assert_snapshot!(views);
 }
 
+/// Founders that had all lost their storage agreed on a second layout of version 1.
+#[test]
+fn founders_without_storage_do_not_bootstrap_a_fleet_anew() {
+    let mut fleet = fleet(6, 3);
+    fleet.run(20);
+    for (one, other) in [
+        (0, 3),
+        (0, 4),
+        (0, 5),
+        (1, 3),
+        (1, 4),
+        (1, 5),
+        (2, 3),
+        (2, 4),
+        (2, 5),
+    ] {
+        let (one, other) = (format!("p{one}"), format!("p{other}"));
+        fleet.cut.insert((one.clone(), other.clone()));
+        fleet.cut.insert((other, one));
+    }
+    for n in 0..3 {
+        fleet.processes.remove(&format!("p{n}"));
+        fleet.disks.remove(&format!("p{n}"));
+    }
+    (0..3).for_each(|n| fleet.start(&format!("n{n}"), &format!("p{n}"), 200));
+    fleet.run(60);
+    for at in ["p0", "p1", "p2"] {
+        assert_eq!(fleet.processes[at].layout().version, 0);
+    }
+    assert!(fleet.reports_of("BootstrapMissing") > 0);
+    // Once they meet the others they are told of the layout that there is.
+    fleet.cut.clear();
+    fleet.run(60);
+    assert_eq!(fleet.processes["p0"].layout().version, 4);
+    let asked = fleet.processes.get_mut("p0").unwrap().bootstrap();
+    assert_eq!(asked, Err("the fleet has a layout already"));
+    assert!(
+        fleet
+            .processes
+            .values()
+            .all(|member| member.counters.layout_conflicts == 0)
+    );
+}
+
 #[test]
 fn a_crashed_member_is_dead_to_all_within_the_detection_bound_and_stays_in_the_layout() {
     let mut fleet = fleet(5, 5);
--- a/crates/membership/tests/simulated_fleet/mod.rs
+++ b/crates/membership/tests/simulated_fleet/mod.rs
@@ -205,5 +205,8 @@
     for (n, name) in names.iter().enumerate() {
         fleet.start(name, &format!("p{n}"), 100);
     }
+    if founders > 0 {
+        fleet.processes.get_mut("p0").unwrap().bootstrap().unwrap();
+    }
     fleet
 }
--- a/crates/peer-transport/src/frame.rs
+++ b/crates/peer-transport/src/frame.rs
@@ -59,6 +59,8 @@
         /// Whether to start over.
         restart: bool,
     },
+    /// The first layout of a new fleet.
+    Bootstrap,
 }
 
 /// A member's response to an [`AdminRequest`].
--- a/crates/peer-transport/src/membership_runtime.rs
+++ b/crates/peer-transport/src/membership_runtime.rs
@@ -187,6 +187,10 @@
                 Ok(()) => AdminResponse::Done,
                 Err(reason) => refused(reason),
             },
+            AdminRequest::Bootstrap => match self.member.borrow_mut().bootstrap() {
+                Ok(()) => AdminResponse::Done,
+                Err(reason) => refused(reason),
+            },
             AdminRequest::Replication => self.with_replication(|replication| {
                 AdminResponse::Replication(Box::new(replication.status()))
             }),
--- a/crates/simulator/src/fleet.rs
+++ b/crates/simulator/src/fleet.rs
@@ -297,7 +297,17 @@
 }
 
 impl Run {
+    /// Whether no layout was ever agreed on: only then does an operator ask a founder for the first one.
+    fn is_new(&self) -> bool {
+        let has_layout = |place: &Place| {
+            let node = place.node.borrow().clone();
+            node.is_some_and(|node| node.with_member(|f| f.layout().version > 0))
+        };
+        self.layouts.is_empty() && !self.places.iter().any(has_layout)
+    }
+
     fn start(&mut self, p: usize) {
+        let bootstraps = p == 0 && self.is_new();
         let place = &mut self.places[p];
         if place.runs {
             return;
@@ -382,6 +392,9 @@
                 }),
             };
             let started = MemberRuntime::start(start, Listener::World(door));
+            if bootstraps {
+                started.handle_admin_request(&AdminRequest::Bootstrap);
+            }
             if let Some(load) = load {
                 copies::start(&sim, p, &started, &load, &truth, &shelf, lasts && !fresh);
             }
--- a/crates/test-support/src/stage.rs
+++ b/crates/test-support/src/stage.rs
@@ -281,6 +281,15 @@
 
     pub fn start_all(&mut self) {
         (0..self.many()).for_each(|p| self.start(p));
+        if self.build.members && self.build.founders > 0 {
+            self.bootstrap(0);
+        }
+    }
+
+    /// An operator has a new fleet's founders agree on its first layout.
+    pub fn bootstrap(&self, p: usize) {
+        let asked = self.asks(p, &["--bootstrap"]);
+        assert!(asked.status.success(), "{asked:?}");
     }
 
     /// A second process under the name of one, with a folder of its own; its place.
