Replication: the log says why session reads require the present

Need: the counter owed can't tell a lost member whose lease has ended from holders that answer late, so neither an operator nor the traces of two listed tests could.

Tests keep the logs of their gateways where LEVERPOINT_TEST_LOGS names a folder.

--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -219,6 +219,10 @@
             "too few replica holders reachable; writes proceed without a quorum"
         ),
         ReplicationEvent::QuorumRestored => slog::info!(log, "replica holders reachable again"),
+        ReplicationEvent::ReadInexact(cause) => {
+            slog::warn!(log, "session reads require the present"; "why" => cause.as_str(),
+                "members" => cause.members().join(" "));
+        }
         ReplicationEvent::DiskFailed => {
             slog::error!(log, "replication disk failed; no longer a replica holder");
         }
--- a/crates/replication/src/action.rs
+++ b/crates/replication/src/action.rs
@@ -82,6 +82,44 @@
     }
 }
 
+/// Why no quorum of replicas has told the position of a session.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum InexactReadCause {
+    /// The layouts in force are not known.
+    LayoutsUnknown,
+    /// Replicas can't account for a member, which may be answering without a quorum; those that this member can't
+    /// account for either.
+    MembersUnaccounted(Vec<String>),
+    /// These replicas have not replied within the read's time.
+    RepliesLate(Vec<String>),
+    /// Too few replicas can be asked.
+    ReplicasUnreachable,
+}
+
+impl InexactReadCause {
+    /// The cause as it is logged.
+    #[must_use]
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            InexactReadCause::LayoutsUnknown => "layouts in force unknown",
+            InexactReadCause::MembersUnaccounted(_) => "members unaccounted for",
+            InexactReadCause::RepliesLate(_) => "replica holders late",
+            InexactReadCause::ReplicasUnreachable => "too few replica holders reachable",
+        }
+    }
+
+    /// The members that the cause is about.
+    #[must_use]
+    pub fn members(&self) -> &[String] {
+        match self {
+            InexactReadCause::MembersUnaccounted(names) | InexactReadCause::RepliesLate(names) => {
+                names
+            }
+            InexactReadCause::LayoutsUnknown | InexactReadCause::ReplicasUnreachable => &[],
+        }
+    }
+}
+
 /// A change that operators are told of.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum ReplicationEvent {
@@ -101,6 +139,8 @@
     QuorumRestored,
     /// The disk persists nothing any more.
     DiskFailed,
+    /// A session's read requires the present; reported at most once a lease.
+    ReadInexact(InexactReadCause),
 }
 
 /// What the runtime is asked to do.
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -39,7 +39,9 @@
 mod write_coordinator;
 pub mod write_quorum;
 
-pub use action::{Action, Completion, LocalMember, PersistedMetadata, ReplicationEvent};
+pub use action::{
+    Action, Completion, InexactReadCause, LocalMember, PersistedMetadata, ReplicationEvent,
+};
 pub use config::ReplicationConfig;
 pub use idempotency::{DeduplicationDomain, IdempotencyClaim, IdempotencyDecision};
 pub use message::{Envelope, Message, RejectReason};
--- a/crates/replication/src/read_coordinator.rs
+++ b/crates/replication/src/read_coordinator.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::Ticks;
-use crate::action::{Action, Completion};
+use crate::action::{Action, Completion, InexactReadCause, ReplicationEvent};
 use crate::coordinator::Context;
 use crate::message::RecordReply;
 use crate::outbound_queue::{Delivery, OperationId};
@@ -37,6 +37,8 @@
 pub(crate) struct ReadCoordinator {
     pending: BTreeMap<OperationId, PendingRead>,
     last_tick: Ticks,
+    /// When it was last reported that a read requires the present.
+    inexact_reported_at: Option<Ticks>,
 }
 
 impl ReadCoordinator {
@@ -183,6 +185,9 @@
         }
         let ticket = read.ticket;
         let completion = if matches!(read.key, RecordKey::Session(_)) {
+            if !matches!(status, ReadStatus::Exact(..)) {
+                self.report_inexact(ctx, &read.quorum);
+            }
             let position = session_position(ctx, status);
             Completion::SessionPosition { ticket, position }
         } else {
@@ -200,6 +205,38 @@
     }
 }
 
+impl ReadCoordinator {
+    /// Reports why a session's read requires the present.
+    fn report_inexact(&mut self, ctx: &mut Context<'_>, quorum: &ReadQuorum) {
+        let now = ctx.now;
+        let interval = ctx.state.leases.length();
+        if self
+            .inexact_reported_at
+            .is_some_and(|at| now - at < interval)
+        {
+            return;
+        }
+        self.inexact_reported_at = Some(now);
+        let event = ReplicationEvent::ReadInexact(inexact_cause(ctx, quorum));
+        ctx.state.actions.push(Action::Notify(event));
+    }
+}
+
+/// Why the replies are no quorum.
+fn inexact_cause(ctx: &Context<'_>, quorum: &ReadQuorum) -> InexactReadCause {
+    if !ctx.state.layout_history.is_known() {
+        return InexactReadCause::LayoutsUnknown;
+    }
+    if quorum.has_partitioned_reply() {
+        let unaccounted = ctx.state.unaccounted_members(ctx.now);
+        return InexactReadCause::MembersUnaccounted(unaccounted.map(str::to_owned).collect());
+    }
+    if quorum.status() == ReadStatus::Pending {
+        return InexactReadCause::RepliesLate(quorum.missing_replies());
+    }
+    InexactReadCause::ReplicasUnreachable
+}
+
 /// As many replicas as make a quorum: this member itself and those in touch before the others.
 fn preferred_quorum(ctx: &Context<'_>, replicas: &ReplicaSet) -> Vec<ReplicaId> {
     let (state, now) = (&*ctx.state, ctx.now);
--- a/crates/replication/src/read_quorum.rs
+++ b/crates/replication/src/read_quorum.rs
@@ -4,7 +4,7 @@
 //!
 //! A replica counts only with the memory that a layout names it with: a memory that was lost is not an empty one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::Ticks;
 use crate::placement::{ReplicaId, ReplicationFactor};
@@ -92,6 +92,23 @@
         stale.map(|(name, _)| name)
     }
 
+    /// Whether a replica has replied that it can't account for a member.
+    #[must_use]
+    pub fn has_partitioned_reply(&self) -> bool {
+        let mut replies = self.replies.values().filter_map(|r| r.reply.as_ref());
+        replies.any(|reply| reply.partitioned)
+    }
+
+    /// The replicas that have not replied, by name.
+    #[must_use]
+    pub fn missing_replies(&self) -> Vec<String> {
+        let names = self.layouts.iter().flatten().map(|replica| &replica.name);
+        let missing: BTreeSet<&String> = names
+            .filter(|name| !self.replies.contains_key(*name))
+            .collect();
+        missing.into_iter().cloned().collect()
+    }
+
     /// What the replies come to by now.
     #[must_use]
     pub fn status(&self) -> ReadStatus {
--- a/crates/test-support/src/gateway.rs
+++ b/crates/test-support/src/gateway.rs
@@ -3,6 +3,7 @@
 //! It must never read the program's state but by what it prints.
 
 use std::cell::RefCell;
+use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -16,7 +17,7 @@
 use crate::agent::{Agent, agent};
 use crate::client::Client;
 use crate::server::Server;
-use crate::wire::{LONG, STARTUP, http, list, target};
+use crate::wire::{LONG, STARTUP, http, list, target, unix_ms};
 
 pub struct Gateway {
     pub child: Child,
@@ -112,6 +113,15 @@
     gateway
 }
 
+/// Names a folder in which the log of every process is kept, each line with the time at which it came.
+const LOG_FOLDER: &str = "LEVERPOINT_TEST_LOGS";
+
+fn log_copy(name: &str, process: u32) -> Option<File> {
+    let folder = std::env::var_os(LOG_FOLDER)?;
+    let path = Path::new(&folder).join(format!("{name}-{process}.log"));
+    Some(File::create(path).unwrap())
+}
+
 /// The program with this configuration, once it serves.
 pub fn start(text: &str, address: String, agent: Agent, program: &Path, words: &[&str]) -> Gateway {
     let name = address.replace([':', '.'], "-");
@@ -126,11 +136,14 @@
     let mut child = begin(command.stderr(Stdio::piped()));
     let (tell, log) = mpsc::channel();
     let stderr = BufReader::new(child.stderr.take().unwrap());
+    let mut copy = log_copy(&name, child.id());
     thread::spawn(move || {
-        stderr
-            .lines()
-            .map_while(Result::ok)
-            .for_each(|line| drop(tell.send(line)));
+        for line in stderr.lines().map_while(Result::ok) {
+            if let Some(copy) = &mut copy {
+                writeln!(copy, "{} {line}", unix_ms()).unwrap();
+            }
+            drop(tell.send(line));
+        }
     });
     let gateway = Gateway {
         child,
