--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -57,6 +57,11 @@
     Duration::from_micros(ticks.max(0) as u64 * MICROS_PER_TICK)
 }
 
+/// A span in whole ticks, rounded down.
+pub fn duration_to_ticks(span: Duration) -> Ticks {
+    (span.as_micros() / u128::from(MICROS_PER_TICK)) as Ticks
+}
+
 /// Converts milliseconds to ticks. The wire counts in microseconds, so a value that differs from a whole tick by less is
 /// taken as that tick.
 fn to_ticks(ms: f64, rounded: fn(f64) -> f64) -> Ticks {
--- a/crates/engine/src/client_connections.rs
+++ b/crates/engine/src/client_connections.rs
@@ -12,7 +12,7 @@
     Action, Admission, ArrivalRateLimiter, ConnectionState, Connections as Backpressure,
     EvictionCandidate, Limits,
 };
-use leverpoint_config::settings::ticks_to_duration;
+use leverpoint_config::settings::{duration_to_ticks, ticks_to_duration};
 use leverpoint_routing::api::Ticks;
 use leverpoint_runtime::{Instant, WeakStream, now, sleep};
 use tokio::sync::Notify;
@@ -107,7 +107,7 @@
     }
 
     fn time(&self, at: Instant) -> Ticks {
-        at.saturating_duration_since(self.started).as_micros() as Ticks / 100
+        duration_to_ticks(at.saturating_duration_since(self.started))
     }
 
     fn now(&self) -> Ticks {
@@ -148,7 +148,7 @@
             arrivals.on_accepted(
                 self.now(),
                 caps.arrivals_per_second,
-                late.as_micros() as Ticks / 100,
+                duration_to_ticks(late),
             )
         } else {
             0
@@ -363,7 +363,7 @@
         self.connections
             .backpressure
             .borrow_mut()
-            .excuse(self.id, waited.as_micros() as Ticks / 100);
+            .excuse(self.id, duration_to_ticks(waited));
     }
 
     /// Returns when an incomplete message is to be checked again; none where the client is too slow to complete it.
--- a/crates/gateway/src/server/answer.rs
+++ b/crates/gateway/src/server/answer.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use leverpoint_backpressure::SlowResponseDetector;
-use leverpoint_config::settings::ticks_to_duration;
+use leverpoint_config::settings::{duration_to_ticks, ticks_to_duration};
 use leverpoint_engine::attempt_error::{AttemptError, Cause, Progress};
 use leverpoint_engine::client_connections::{BufferKind, BufferReservation, ClientConnections};
 use leverpoint_engine::engine::{Attempt, ReportedParameters, Row};
@@ -52,7 +52,7 @@
 
 impl AnswerProgress<'_> {
     fn ticks(&self, at: Instant) -> Ticks {
-        at.saturating_duration_since(self.began).as_micros() as Ticks / 100
+        duration_to_ticks(at.saturating_duration_since(self.began))
     }
 
     /// The row is whole: only the server's report and that it is ready are missing.
@@ -269,7 +269,7 @@
                     .socket
                     .expect(length, peer, BufferKind::Response, &mut room);
                 let waited = reserved.await;
-                progress.trickle.excuse(waited.as_micros() as Ticks / 100);
+                progress.trickle.excuse(duration_to_ticks(waited));
             }
             progress.read_more(&mut self.socket, length).await?;
         }
