Replication: a start waits for late replica holders for as long as it may

Callers: right after a restart, requests could go to a server that drains, and writes to a former primary, though the replica holders knew better and the start had time to hear them.

Cause: a start asked for each record once, gave up after 0.2 s whatever `starts` allowed, and took what had come by then for all there is, nothing included.

Change: it asks until a quorum of the record's holders has answered, each record for up to half of the time left, and logs `replica holders late at the start` where the time ends first.

--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use leverpoint_config::copies::ReplicationSettings;
+use leverpoint_config::settings::duration_to_ticks;
 use leverpoint_engine::engine::{EndpointEntry, Engine};
 use leverpoint_engine::replicated_state::{ReplicatedState, WriteDecision};
 use leverpoint_peer_transport::{
@@ -23,7 +24,7 @@
     RecordKey, RecordValue, RecoveredState, ReplicationEvent, Ticks, WriteOutcome,
 };
 use leverpoint_routing::api::{EndpointState, EndpointUpdate};
-use leverpoint_runtime::{now, since, sleep, spawn, timeout};
+use leverpoint_runtime::{Instant, now, since, sleep, spawn, timeout_at};
 use leverpoint_storage::{Directory, LogLimits, LogRecord, SegmentedLog};
 use tokio::sync::oneshot;
 
@@ -313,19 +314,34 @@
 
 /// How often a start checks whether replica holders are reachable.
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// How long one record is waited for.
-const READ_TIMEOUT: Ticks = 2_000;
+/// A record is waited for at most this part of the time that a start has left, so that no one record takes it all.
+const RECORD_WAIT_DIVISOR: u32 = 2;
 
 impl Replication {
-    /// Reads a record from the replica holders.
-    async fn read_record(&self, kind: RecordKey) -> Option<Record> {
+    /// Reads a record from a quorum of its replica holders; from fewer where a quorum does not answer in its part of the
+    /// time until `by`.
+    async fn read_record(&self, kind: RecordKey, by: Instant) -> Option<Record> {
+        let by = now() + by.saturating_duration_since(now()) / RECORD_WAIT_DIVISOR;
+        loop {
+            let wait = by.saturating_duration_since(now());
+            let (record, exact) = self.look_up(kind, wait).await;
+            if exact || now() >= by {
+                return record;
+            }
+            // Holders that reject at once are not asked again at once.
+            sleep(READY_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Asks the replica holders for a record, and returns whether a quorum has answered.
+    async fn look_up(&self, kind: RecordKey, wait: Duration) -> (Option<Record>, bool) {
         let (send, received) = oneshot::channel();
-        let then = Box::new(move |record, _| {
+        let then = Box::new(move |record, exact| {
             // The start may have given up waiting.
-            let _ = send.send(record);
+            let _ = send.send((record, exact));
         });
-        self.copies.look_up(kind, READ_TIMEOUT, then);
-        received.await.ok().flatten()
+        self.copies.look_up(kind, duration_to_ticks(wait), then);
+        received.await.unwrap_or((None, false))
     }
 
     /// Recovers the drains and primaries that the replica holders know, within that time.
@@ -340,20 +356,23 @@
         log: &slog::Logger,
     ) {
         let began = now();
-        while !self.copies.is_ready() && since(began) < within {
+        let by = began + within;
+        while !self.copies.is_ready() && now() < by {
             sleep(READY_POLL_INTERVAL).await;
         }
         if !self.copies.is_ready() {
             slog::warn!(log, "no replica holders reachable at the start"; "ms" => since(began).as_millis() as u64);
             return;
         }
-        let left = within.saturating_sub(since(began));
-        // What has not been recovered by then is learned from discovery and the servers.
-        let _ = timeout(left, async {
-            self.recover_drains(exchange, known, revision, log).await;
-            self.recover_primaries(exchange, known, log).await;
-        })
-        .await;
+        let recovered = timeout_at(by, async {
+            self.recover_drains(exchange, known, revision, by, log)
+                .await;
+            self.recover_primaries(exchange, known, by, log).await;
+        });
+        if recovered.await.is_err() {
+            // The rest is learned from discovery and the servers.
+            slog::warn!(log, "replica holders late at the start"; "ms" => since(began).as_millis() as u64);
+        }
     }
 
     /// Marks the servers that were drained as draining.
@@ -362,12 +381,13 @@
         exchange: &Rc<Engine>,
         known: &[EndpointEntry],
         revision: u64,
+        by: Instant,
         log: &slog::Logger,
     ) {
         if let Some(Record {
             value: RecordValue::EndpointList(listed),
             ..
-        }) = self.read_record(RecordKey::EndpointList).await
+        }) = self.read_record(RecordKey::EndpointList, by).await
             && listed.revision >= revision
         {
             let drained = |entry: &&EndpointEntry| listed.drained.binary_search(&entry.uid).is_ok();
@@ -391,6 +411,7 @@
         &self,
         exchange: &Rc<Engine>,
         known: &[EndpointEntry],
+        by: Instant,
         log: &slog::Logger,
     ) {
         let mut sets: Vec<u16> = known.iter().map(|entry| entry.set).collect();
@@ -401,7 +422,7 @@
             if let Some(Record {
                 value: RecordValue::Primary(role),
                 ..
-            }) = self.read_record(RecordKey::Primary(set)).await
+            }) = self.read_record(RecordKey::Primary(set), by).await
             {
                 roles.push((set, role.server.clone(), role.observed_at));
                 self.roles.borrow_mut().entry(set).or_insert(role);
--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -2,7 +2,10 @@
 //! replaced, and what was promised is still there; what was not is owed as if it were now.
 
 use std::path::Path;
+use std::process::Command;
 use std::sync::Arc;
+use std::sync::mpsc::{self, TryRecvError};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use leverpoint_cluster_model::set::Build as Machines;
@@ -110,6 +113,12 @@
     }
 }
 
+fn signal_all(processes: &[u32], signal: &str) {
+    let ids = processes.iter().map(u32::to_string);
+    let sent = Command::new("kill").arg(signal).args(ids).status();
+    assert!(sent.unwrap().success());
+}
+
 impl Fleet {
     fn id(&mut self) -> String {
         self.ids += 1;
@@ -184,6 +193,19 @@
         }
     }
 
+    /// Waits until a process holds a record of drains or primaries.
+    fn holds_other_records(&self, p: usize) {
+        let began = Instant::now();
+        loop {
+            let shown = self.stage.runs_words(p, &["copies", "--json"]);
+            let shown: serde_json::Value = serde_json::from_slice(&shown.stdout).unwrap();
+            if shown["others"].as_u64() > Some(0) {
+                return;
+            }
+            assert!(began.elapsed() < LONG, "{p}: {shown}");
+        }
+    }
+
     /// Waits until no key can have been sent before the fleet began to keep them: until then a repeat is ended at once.
     fn knows_all_keys(&mut self) {
         let floor = (0..5)
@@ -444,6 +466,48 @@
     }
 }
 
+/// What holders told later than 0.2 s after they were asked was not recovered by a start that had more time.
+#[test]
+fn a_starting_gateway_waits_for_replica_holders_that_answer_late() {
+    let mut fleet = five_with(5, &PATIENT);
+    fleet.stage.kill(4);
+    let targets = [
+        target("s0", &fleet.members[0].address, "up", "read-write"),
+        target("s1", &fleet.members[1].address, "draining", "read-only"),
+        target("s2", &fleet.members[2].address, "up", "read-only"),
+    ];
+    let agent = &fleet.stage.gateway(1).agent;
+    agent.say.send(http(&list(8, true, &targets))).unwrap();
+    (0..4).for_each(|p| fleet.holds_other_records(p));
+    // The holders stand still, but for a moment each in turn.
+    let (recovered, over) = mpsc::channel();
+    let holders: Vec<u32> = (0..4).map(|p| fleet.stage.gateway(p).child.id()).collect();
+    let pauses = thread::spawn(move || {
+        signal_all(&holders, "-STOP");
+        for holder in holders.iter().cycle() {
+            signal_all(&[*holder], "-CONT");
+            thread::sleep(Duration::from_millis(6));
+            if over.try_recv() != Err(TryRecvError::Empty) {
+                break;
+            }
+            signal_all(&[*holder], "-STOP");
+            thread::sleep(Duration::from_millis(220));
+        }
+        signal_all(&holders, "-CONT");
+    });
+    fleet.stage.start(4);
+    let line = fleet
+        .stage
+        .gateway(4)
+        .logged("draining endpoints recovered");
+    recovered.send(()).unwrap();
+    pauses.join().unwrap();
+    assert!(
+        line.contains("\"many\":1") && line.contains("\"revision\":8"),
+        "{line}"
+    );
+}
+
 #[test]
 fn copies_shows_replicated_records_and_verify_compares_them() {
     let mut fleet = five(3);
