--- a/crates/membership/src/member/proposing.rs
+++ b/crates/membership/src/member/proposing.rs
@@ -45,12 +45,16 @@
 
     /// Requests the first layout, of the founders with the storage that they have now.
     ///
-    /// The request lasts until there is a layout, and no longer than this process.
+    /// The request lasts until there is a layout, and no longer than this process. It may be repeated, as an operator does
+    /// who has not heard the answer.
     ///
     /// # Errors
     ///
     /// The reason why the request is refused, as shown to the operator.
     pub fn bootstrap(&mut self) -> Result<(), &'static str> {
+        if self.voting.bootstrap == BootstrapRequest::Requested {
+            return Ok(());
+        }
         if self.voting.layout.version > 0 {
             return Err("the fleet has a layout already");
         }
@@ -164,7 +168,9 @@
     /// Whether an operator has asked this member for a change.
     fn has_operator_request(&self) -> bool {
         let voting = &self.voting;
-        !voting.requested_removals.is_empty() || voting.bootstrap == BootstrapRequest::Requested
+        let bootstraps =
+            voting.layout.version == 0 && voting.bootstrap == BootstrapRequest::Requested;
+        bootstraps || !voting.requested_removals.is_empty()
     }
 
     /// Proposes the wanted change, if it is this member's turn.
--- a/crates/membership/src/member/voting.rs
+++ b/crates/membership/src/member/voting.rs
@@ -271,7 +271,6 @@
         self.voting.layout = layout;
         self.voting.acceptor = AcceptorState::default();
         self.voting.proposal = None;
-        self.voting.bootstrap = BootstrapRequest::default();
         self.counters.layouts_adopted += 1;
         self.report(MembershipEvent::LayoutChanged { version, holders });
         self.persist();
--- a/crates/membership/tests/members.rs
+++ b/crates/membership/tests/members.rs
@@ -97,6 +97,22 @@
     );
 }
 
+/// An operator's command that was sent again, as its answer was late, was refused.
+#[test]
+fn a_repeated_request_for_a_bootstrap_is_accepted_after_the_layout_as_before_it() {
+    let mut fleet = fleet(3, 3);
+    let again = fleet.processes.get_mut("p0").unwrap().bootstrap();
+    assert_eq!(again, Ok(()));
+    fleet.run(20);
+    assert_eq!(fleet.processes["p0"].layout().version, 1);
+    let again = fleet.processes.get_mut("p0").unwrap().bootstrap();
+    assert_eq!(again, Ok(()));
+    fleet.run(20);
+    assert_eq!(fleet.processes["p0"].layout().version, 1);
+    let other = fleet.processes.get_mut("p1").unwrap().bootstrap();
+    assert_eq!(other, Err("the fleet has a layout already"));
+}
+
 #[test]
 fn a_crashed_member_is_dead_to_all_within_the_detection_bound_and_stays_in_the_layout() {
     let mut fleet = fleet(5, 5);
