--- a/crates/test-support/src/gateway.rs
+++ b/crates/test-support/src/gateway.rs
@@ -117,7 +117,7 @@
 const LOG_FOLDER: &str = "LEVERPOINT_TEST_LOGS";
 
 fn log_copy(name: &str, process: u32) -> Option<File> {
-    let folder = std::env::var_os(LOG_FOLDER)?;
+    let folder = std::env::var_os(LOG_FOLDER).filter(|folder| !folder.is_empty())?;
     let path = Path::new(&folder).join(format!("{name}-{process}.log"));
     Some(File::create(path).unwrap())
 }
