--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use leverpoint_cluster_model::set::Build as Machines;
+use leverpoint_test_support::gateway::begin;
 use leverpoint_test_support::member::{Member, PLAIN, Set, serving};
 use leverpoint_test_support::relay::Trouble;
 use leverpoint_test_support::stage::{Build, Stage};
@@ -115,7 +116,7 @@
 
 fn signal_all(processes: &[u32], signal: &str) {
     let ids = processes.iter().map(u32::to_string);
-    let sent = Command::new("kill").arg(signal).args(ids).status();
+    let sent = begin(Command::new("kill").arg(signal).args(ids)).wait();
     assert!(sent.unwrap().success());
 }
 
