Routing, replication: one place for a request's end, one look at a read's status

Behaviour unchanged. The time of a shutdown is a field that rejection::answer_by reads; a second answer_by, a setter and a query on the cluster's state are gone. Why a read is inexact is told from the status that was just computed, and its method stands with the others of its type.

--- a/crates/replication/src/read_coordinator.rs
+++ b/crates/replication/src/read_coordinator.rs
@@ -186,7 +186,7 @@
         let ticket = read.ticket;
         let completion = if matches!(read.key, RecordKey::Session(_)) {
             if !matches!(status, ReadStatus::Exact(..)) {
-                self.report_inexact(ctx, &read.quorum);
+                self.report_inexact(ctx, &read.quorum, &status);
             }
             let position = session_position(ctx, status);
             Completion::SessionPosition { ticket, position }
@@ -203,11 +203,9 @@
         };
         ctx.state.actions.push(Action::Complete(completion));
     }
-}
 
-impl ReadCoordinator {
     /// Reports why a session's read requires the present.
-    fn report_inexact(&mut self, ctx: &mut Context<'_>, quorum: &ReadQuorum) {
+    fn report_inexact(&mut self, ctx: &mut Context<'_>, quorum: &ReadQuorum, status: &ReadStatus) {
         let now = ctx.now;
         let interval = ctx.state.leases.length();
         if self
@@ -217,13 +215,13 @@
             return;
         }
         self.inexact_reported_at = Some(now);
-        let event = ReplicationEvent::ReadInexact(inexact_cause(ctx, quorum));
+        let event = ReplicationEvent::ReadInexact(inexact_cause(ctx, quorum, status));
         ctx.state.actions.push(Action::Notify(event));
     }
 }
 
 /// Why the replies are no quorum.
-fn inexact_cause(ctx: &Context<'_>, quorum: &ReadQuorum) -> InexactReadCause {
+fn inexact_cause(ctx: &Context<'_>, quorum: &ReadQuorum, status: &ReadStatus) -> InexactReadCause {
     if !ctx.state.layout_history.is_known() {
         return InexactReadCause::LayoutsUnknown;
     }
@@ -231,7 +229,7 @@
         let unaccounted = ctx.state.unaccounted_members(ctx.now);
         return InexactReadCause::MembersUnaccounted(unaccounted.map(str::to_owned).collect());
     }
-    if quorum.status() == ReadStatus::Pending {
+    if *status == ReadStatus::Pending {
         return InexactReadCause::RepliesLate(quorum.missing_replies());
     }
     InexactReadCause::ReplicasUnreachable
--- a/crates/routing/src/cluster_state.rs
+++ b/crates/routing/src/cluster_state.rs
@@ -27,7 +27,7 @@
     /// Highest priority weight per tick of all classes.
     pub(crate) max_weight_per_tick: f64,
     /// When all requests are ended; `None` while the gateway does not shut down.
-    shutdown_at: Option<Ticks>,
+    pub(crate) shutdown_at: Option<Ticks>,
     throughput_decayed_at: Ticks,
     decay_checked_at: Ticks,
 }
@@ -121,22 +121,6 @@
         }
     }
 
-    /// All requests are ended at this time, whatever their deadlines.
-    pub(crate) fn schedule_shutdown(&mut self, at: Ticks) {
-        self.shutdown_at = Some(at);
-    }
-
-    /// Whether the gateway shuts down.
-    pub(crate) fn is_shutting_down(&self) -> bool {
-        self.shutdown_at.is_some()
-    }
-
-    /// By when a request with this deadline of its client has to be answered.
-    pub(crate) fn answer_by(&self, client_deadline: Ticks) -> Ticks {
-        self.shutdown_at
-            .map_or(client_deadline, |at| at.min(client_deadline))
-    }
-
     /// The replica set of this index, new if it is not known yet.
     pub(crate) fn set_mut(&mut self, set: usize) -> &mut ReplicaSet {
         if self.sets.len() <= set {
--- a/crates/routing/src/primary_selection.rs
+++ b/crates/routing/src/primary_selection.rs
@@ -38,7 +38,7 @@
 /// There is no time left to find out whether it hangs: a request that waits can be shed at the end,
 /// one that was sent may have been executed.
 fn is_hung_at_shutdown(cluster: &ClusterState, primary: usize) -> bool {
-    cluster.is_shutting_down() && cluster.servers[primary].health.is_unresponsive()
+    cluster.shutdown_at.is_some() && cluster.servers[primary].health.is_unresponsive()
 }
 
 /// Whether a request may try members while the primary is unknown.
--- a/crates/routing/src/rejection.rs
+++ b/crates/routing/src/rejection.rs
@@ -33,7 +33,8 @@
 /// By when a request has to be answered: its client's deadline, or the gateway's shutdown if that is
 /// earlier.
 pub(crate) fn answer_by(cluster: &ClusterState, request: &RequestState) -> Ticks {
-    cluster.answer_by(request.timing.deadline)
+    let deadline = request.timing.deadline;
+    cluster.shutdown_at.map_or(deadline, |at| at.min(deadline))
 }
 
 /// Whether the gateway's shutdown comes before a request's deadline.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -106,7 +106,7 @@
                 self.on_primaries_announced(announcements, actions);
             }
             Event::ShutdownScheduled(at) => {
-                self.cluster.schedule_shutdown(*at);
+                self.cluster.shutdown_at = Some(*at);
                 self.requeue_waiting();
             }
         }
