--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -54,6 +54,10 @@
 
     /// Takes an event that happens at the time `now`, and appends the actions that follow.
     pub fn handle(&mut self, now: Ticks, event: &Event<'_>, actions: &mut Vec<Action>) {
+        if matches!(event, Event::WriteAnswered(_)) {
+            // Nothing follows from it by itself, and the end of the attempt is about to come.
+            return self.dispatch(event, actions);
+        }
         self.cluster.now = self.cluster.now.max(now);
         let now = self.cluster.now;
         self.endpoint_list.on_event(now);
