Runtime: an attempt's check for its client's disconnect asks the kernel

What callers saw: a client pipelined two requests and closed; the answer to the first came, and the second was sent to the server and applied. The check before an attempt's first byte used the runtime's last readiness event. A task that has just written a statement reads the server's socket directly; if the answer is there, the next request starts in the same turn, before the runtime has polled its sockets again and so before it knows of the close.

Change: Stream::peer_closed asks the kernel by poll(2) with POLLRDHUP where the runtime reports no close. It reports a close behind unread bytes too, and no await lies between the check and the write.

--- a/crates/runtime/src/stream.rs
+++ b/crates/runtime/src/stream.rs
@@ -136,8 +136,8 @@
         }
     }
 
-    /// Returns whether the peer is known to have closed or reset the connection, even if received bytes are still
-    /// unread.
+    /// Returns whether the peer has closed or reset the connection, as far as the kernel has received it, even if
+    /// received bytes are still unread.
     pub fn peer_closed(&self) -> bool {
         match self {
             Stream::Tcp(stream) => peer_closed(stream),
@@ -204,7 +204,8 @@
 }
 
 impl WeakStream {
-    /// Returns whether the peer is known to have closed or reset the connection, or the connection has been dropped.
+    /// Returns whether the peer has closed or reset the connection, as far as the kernel has received it, or the
+    /// connection has been dropped.
     pub fn peer_closed(&self) -> bool {
         match self {
             WeakStream::Tcp(stream) => stream.upgrade().is_none_or(|stream| peer_closed(&stream)),
@@ -225,8 +226,13 @@
     }
 }
 
-/// Returns whether the runtime's last readiness event reported the read side closed; makes no system call.
+/// Returns whether the peer has closed or reset the connection, as far as the kernel has received it.
 fn peer_closed(stream: &TcpStream) -> bool {
+    runtime_reports_close(stream) || kernel_reports_close(stream)
+}
+
+/// Returns whether the runtime's last readiness event reported the read side closed; makes no system call.
+fn runtime_reports_close(stream: &TcpStream) -> bool {
     let ready = pin!(stream.ready(Interest::READABLE));
     match ready.poll(&mut Context::from_waker(Waker::noop())) {
         Poll::Ready(Ok(ready)) => ready.is_read_closed(),
@@ -235,6 +241,22 @@
     }
 }
 
+/// Returns whether the kernel has received the peer's close or a reset; `false` if the query fails.
+///
+/// The runtime learns of a close when it next polls all sockets. Until then a task may already act on another socket
+/// whose input it has read directly.
+fn kernel_reports_close(stream: &TcpStream) -> bool {
+    let mut query = libc::pollfd {
+        fd: stream.as_raw_fd(),
+        events: libc::POLLRDHUP,
+        revents: 0,
+    };
+    // SAFETY: the borrowed stream keeps the descriptor open, and the call gets one entry. With a timeout of 0 it does
+    // not wait.
+    let answered = unsafe { libc::poll(&mut query, 1, 0) };
+    answered == 1 && query.revents & (libc::POLLRDHUP | libc::POLLHUP | libc::POLLERR) != 0
+}
+
 /// Returns the size of the kernel's send queue, which holds unsent and unacknowledged bytes; 0 if the query fails.
 fn send_queue_bytes(stream: &TcpStream) -> usize {
     let mut bytes: libc::c_int = 0;
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod replica_set;
 pub mod server;
 pub mod slow_clients;
+pub mod tcp_table;
 pub mod values;
 pub mod wire;
