--- a/crates/gateway/tests/races.rs
+++ b/crates/gateway/tests/races.rs
@@ -16,7 +16,7 @@
 use leverpoint_test_support::server::{
     Server, ServerAction, always_row, next_statement, row_on_signal, start_server,
 };
-use leverpoint_test_support::tcp_table::wait_for_socket;
+use leverpoint_test_support::tcp_table::{TcpSocket, wait_for_socket};
 use leverpoint_test_support::wire::{
     READ_TAG, STARTUP_MESSAGE, WAIT_LIMIT, WRITE_TAG, deadline_ms, endpoint_list, http_ok, insert,
     put_message, query_message, row_messages, select, target,
@@ -414,16 +414,16 @@
     let client_address = client.stream.local_addr().unwrap();
     drop(client);
     let gateway_address = gateway.address.parse().unwrap();
-    wait_for_socket(gateway_address, client_address, |socket| {
-        socket.is_closed_by_peer()
-    });
+    wait_for_socket(
+        gateway_address,
+        client_address,
+        TcpSocket::is_closed_by_peer,
+    );
     let (server_side, gateway_side) = (
         connection.stream.local_addr().unwrap(),
         connection.stream.peer_addr().unwrap(),
     );
-    wait_for_socket(gateway_side, server_side, |socket| {
-        socket.has_unread_bytes()
-    });
+    wait_for_socket(gateway_side, server_side, TcpSocket::has_unread_bytes);
     gateway.signal("-CONT");
     gateway.wait_for_counter("clients.closed=1");
     assert_eq!(
--- a/crates/runtime/tests/peer_close.rs
+++ b/crates/runtime/tests/peer_close.rs
@@ -4,7 +4,7 @@
 use std::net::{Shutdown, TcpStream};
 
 use leverpoint_runtime::{Listener, Stream};
-use leverpoint_test_support::tcp_table::wait_for_socket;
+use leverpoint_test_support::tcp_table::{TcpSocket, wait_for_socket};
 use tokio::net::TcpListener;
 
 /// Runs `test` with both ends of a connection, the accepted one first, on a current-thread runtime.
@@ -49,10 +49,10 @@
         };
         let (local, remote) = (accepted.local_addr().unwrap(), peer.local_addr().unwrap());
         peer.write_all(b"unread").unwrap();
-        wait_for_socket(local, remote, |socket| socket.has_unread_bytes());
+        wait_for_socket(local, remote, TcpSocket::has_unread_bytes);
         assert!(!stream.peer_closed());
         peer.shutdown(Shutdown::Write).unwrap();
-        wait_for_socket(local, remote, |socket| socket.is_closed_by_peer());
+        wait_for_socket(local, remote, TcpSocket::is_closed_by_peer);
         assert!(stream.peer_closed());
     });
 }
