Test bed: child processes end with their test, and each address and fleet name is its own

Need: a test run that was killed, or a failed test with a child that nothing kills, left gateways running, which called ports and members that belonged to later tests. No caller of a gateway is concerned.

Change: one lasting thread starts all children with PR_SET_PDEATHSIG, so that the kernel kills them with the process; test doubles listen on a loopback IP address each; fleets have names of their own.

--- a/crates/test-support/src/agent.rs
+++ b/crates/test-support/src/agent.rs
@@ -2,10 +2,11 @@
 //! endpoint list of its own.
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::TcpListener;
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::thread;
 
+use crate::addresses::bind_listener;
+
 /// A running discovery agent.
 pub struct Agent {
     /// Its listening address, `IP:port`.
@@ -19,7 +20,7 @@
 
 /// Starts an agent on a free loopback port. It serves one connection at a time.
 pub fn start_agent() -> Agent {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listener = bind_listener();
     let address = listener.local_addr().unwrap().to_string();
     let (response_tx, response_rx) = mpsc::channel::<String>();
     let (request_tx, request_rx) = mpsc::channel();
--- a/crates/test-support/src/discovery.rs
+++ b/crates/test-support/src/discovery.rs
@@ -5,11 +5,12 @@
 //! within 200 ms of its last answer costs nothing. The service records what it has written to which gateway.
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::addresses::bind_listener;
 use crate::wire::{endpoint_list, http_ok};
 
 /// A watch's next call continues the watch, and costs nothing, when it comes within this time of the last answer.
@@ -96,7 +97,7 @@
 
     /// Starts serving one more gateway; returns the address for it and its index as a caller.
     pub fn add_gateway(&self) -> (String, usize) {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = bind_listener();
         let address = listener.local_addr().unwrap().to_string();
         let caller = {
             let mut state = self.state();
--- a/crates/test-support/src/fleet.rs
+++ b/crates/test-support/src/fleet.rs
@@ -137,6 +137,8 @@
 pub struct GatewayFleet {
     program: PathBuf,
     config: FleetConfig,
+    /// Name in the operator's files; no other fleet has it, so that processes of two fleets never meet as members.
+    fleet_name: String,
     root: PathBuf,
     processes: Vec<Process>,
     /// By sender and receiver. A duplicate started later uses the links of the process whose name it has.
@@ -162,8 +164,8 @@
     /// Sets the fleet up and starts its relays, but no process yet.
     pub fn new(program: &Path, config: FleetConfig) -> GatewayFleet {
         let suffix = free_peer_address().to_string().replace([':', '.'], "-");
-        let root =
-            std::env::temp_dir().join(format!("leverpoint-stage-{}-{suffix}", std::process::id()));
+        let fleet_name = format!("stage-{}-{suffix}", std::process::id());
+        let root = std::env::temp_dir().join(format!("leverpoint-{fleet_name}"));
         let mut random = Rng::with_seed(config.seed);
         let n = config.processes;
         let processes: Vec<Process> = (0..n)
@@ -198,6 +200,7 @@
         GatewayFleet {
             program: program.to_owned(),
             config,
+            fleet_name,
             root,
             processes,
             links,
@@ -261,9 +264,10 @@
             .join_delay_ms
             .map_or(String::new(), |ms| format!("  settles = \"{ms}ms\"\n"));
         format!(
-            "members {{\n  listen = \"{}\"\n  fleet = \"stage\"\n  beat = \"{}ms\"\n  zone = \"z{}\"\n  seeds = [{}]\n  \
+            "members {{\n  listen = \"{}\"\n  fleet = \"{}\"\n  beat = \"{}ms\"\n  zone = \"z{}\"\n  seeds = [{}]\n  \
              reach = {{ {} }}\n  founders = [{}]\n  keys = [{}]\n{}}}\n",
             process.peer_address.lock().unwrap(),
+            self.fleet_name,
             self.config.heartbeat_ms,
             owner % self.config.zones,
             seeds.join(", "),
--- a/crates/test-support/src/gateway.rs
+++ b/crates/test-support/src/gateway.rs
@@ -5,16 +5,16 @@
 use std::cell::RefCell;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{self, Receiver};
-use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Instant;
 
+pub use crate::addresses::free_address;
 use crate::agent::{Agent, start_agent};
+pub use crate::child_process::{output, spawn_process};
 use crate::client::Client;
 use crate::server::Server;
 use crate::wire::{STARTUP_MESSAGE, WAIT_LIMIT, endpoint_list, http_ok, target, unix_ms};
@@ -35,33 +35,6 @@
     pub agent: Agent,
 }
 
-/// How many addresses [`free_address`] has returned.
-static ADDRESS_COUNT: AtomicU32 = AtomicU32::new(0);
-
-/// Held while a child process is spawned, and while a socket is open that no child may inherit: between fork and exec a
-/// child has a copy of each descriptor of all threads, so a port that was probed a moment ago would still be listened on.
-static SPAWN_LOCK: Mutex<()> = Mutex::new(());
-
-fn lock_spawning() -> MutexGuard<'static, ()> {
-    SPAWN_LOCK.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Starts a child process; its exec has completed once this returns.
-pub fn spawn_process(command: &mut Command) -> Child {
-    let _guard = lock_spawning();
-    command.spawn().unwrap()
-}
-
-/// Returns a free port of a loopback address that no other test uses. The address follows from the process id and from the
-/// number of calls before this one.
-pub fn free_address() -> String {
-    let call_number = ADDRESS_COUNT.fetch_add(1, Ordering::Relaxed);
-    let (block, last) = (7 + call_number / 250 % 100, call_number % 250 + 1);
-    let _guard = lock_spawning();
-    let listener = TcpListener::bind(format!("127.{block}.{}.{last}:0", std::process::id() % 250));
-    listener.unwrap().local_addr().unwrap().to_string()
-}
-
 /// Returns a configuration as JSON for a gateway named `n0`, with limits of one core, 192 MiB and 1024 descriptors.
 /// `agent` is the discovery agent's address, `known_list` the endpoint list known at the start and `settings` the settings,
 /// both as JSON.
@@ -178,18 +151,6 @@
     gateway
 }
 
-/// Runs a process until it exits and returns its exit status, stdout and stderr.
-pub fn output(command: &mut Command) -> Output {
-    spawn_process(
-        command
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(Stdio::piped()),
-    )
-    .wait_with_output()
-    .unwrap()
-}
-
 /// Returns the value of `name` in a line of `name=value` pairs. A value may be quoted.
 pub fn counter_value<'a>(line: &'a str, name: &str) -> Option<&'a str> {
     let mut pieces = line.split([' ', '"']);
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -9,7 +9,9 @@
 //! - Sockets are opened on loopback addresses only.
 //! - Every wait of a test is bounded, in most cases by [`wire::WAIT_LIMIT`].
 
+mod addresses;
 pub mod agent;
+pub mod child_process;
 pub mod client;
 pub mod discovery;
 pub mod file_lease;
--- a/crates/test-support/src/manual.rs
+++ b/crates/test-support/src/manual.rs
@@ -2,13 +2,14 @@
 //! but answer, close and wait only when the test calls for it.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, TcpStream};
 use std::sync::mpsc::{self, Receiver};
 use std::thread;
 use std::time::Duration;
 
 use socket2::SockRef;
 
+use crate::addresses::bind_listener;
 use crate::agent::Agent;
 use crate::wire::{
     READ_TAG, WAIT_LIMIT, WRITE_TAG, endpoint_list, put_message, read_message, row_messages,
@@ -31,7 +32,7 @@
     /// Like `new`, with the kernel's receive buffer of each connection set to `bytes`, so that a peer whose bytes are not
     /// read has to stop writing soon.
     pub fn with_receive_buffer(bytes: Option<usize>) -> ManualServer {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = bind_listener();
         bytes.inspect(|bytes| {
             SockRef::from(&listener)
                 .set_recv_buffer_size(*bytes)
@@ -158,7 +159,7 @@
 impl ManualAgent {
     /// Starts an agent on a free loopback port.
     pub fn new() -> ManualAgent {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = bind_listener();
         let address = listener.local_addr().unwrap().to_string();
         let (request_tx, request_rx) = mpsc::channel();
         thread::spawn(move || {
--- a/crates/test-support/src/relay.rs
+++ b/crates/test-support/src/relay.rs
@@ -4,13 +4,15 @@
 //! A frame is a big-endian length of four bytes and as many bytes of payload. The relay doesn't interpret the payload.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
 
+use crate::addresses::bind_listener;
+
 /// Faults injected into the frames of one direction. The rates are shares of all frames, from 0 to 1.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LinkFaults {
@@ -59,7 +61,7 @@
     backward: LinkDirection,
     seed: u64,
 ) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listener = bind_listener();
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
         let mut random = Rng::with_seed(seed);
--- a/crates/test-support/src/replica_set.rs
+++ b/crates/test-support/src/replica_set.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
@@ -14,6 +14,7 @@
     Health, ReplicaSet as Model, ReplicaSetConfig, Reply, Statement,
 };
 
+use crate::addresses::bind_listener;
 use crate::pace::{Pace, write_paced};
 use crate::values::{expected_value, value_length};
 use crate::wire::{
@@ -239,7 +240,7 @@
     /// Starts the server with index `index` of a replica set on a free loopback port. Each statement occupies a slot for
     /// the time `work`.
     pub fn start(set: &Arc<ReplicaSet>, index: usize, work: Duration) -> ReplicaSetMember {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = bind_listener();
         let address = listener.local_addr().unwrap().to_string();
         let pace = Arc::new(Mutex::new(Pace::Whole));
         let (shared_set, shared_pace) = (set.clone(), pace.clone());
--- a/crates/test-support/src/server.rs
+++ b/crates/test-support/src/server.rs
@@ -3,11 +3,12 @@
 
 use std::collections::VecDeque;
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
+use crate::addresses::bind_listener;
 use crate::pace::{Pace, write_paced};
 use crate::wire::{
     READ_TAG, WAIT_LIMIT, WRITE_TAG, put_message, read_message, row_messages, unix_ms,
@@ -47,7 +48,7 @@
 /// Starts a server on a free loopback port with this script. `mode` is the role that it reports (`read-write` or
 /// `read-only`); with `no more connections` it refuses each connection with SQLSTATE 53300.
 pub fn start_server(mode: &str, script: Vec<ServerAction>) -> Server {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listener = bind_listener();
     let address = listener.local_addr().unwrap().to_string();
     let (statement_tx, statement_rx) = mpsc::channel();
     let script = Arc::new(Mutex::new(VecDeque::from(script)));
