Sockets: a test waits for its server's close before the statement behind it

Seen once of seven runs of the gateway's tests, on no other load: bytes_behind_an_answer_belong_to_no_other_request got 58000 in place of the sixth row. Cause, in the test: its server answers the fifth statement and closes; nothing made the close reach the gateway before the client's next statement. Where the server's thread is held up between its write and its close, the gateway finds the idle connection open, writes a request that is not idempotent, and 58000 is the right answer to the reset that follows (docs/races.md, "the same right after the check").

The test keeps every check and waits in /proc/net/tcp until the gateway's kernel has the close.

--- a/crates/gateway/tests/sockets.rs
+++ b/crates/gateway/tests/sockets.rs
@@ -13,6 +13,7 @@
 use leverpoint_test_support::server::{
     Server, ServerAction, always_row, next_statement, row_on_signal, start_server,
 };
+use leverpoint_test_support::tcp_table::wait_until_accepted_are_closed;
 use leverpoint_test_support::wire::{
     READ_TAG, STARTUP_MESSAGE, WAIT_LIMIT, WRITE_TAG, endpoint_list, http_ok, insert, put_message,
     query_message, row_messages, select, target,
@@ -223,7 +224,11 @@
     let gateway = gateway(&[(&primary, "read-write")]);
     let mut client = gateway.connect_client();
     let mut trace = String::new();
-    (0..6).for_each(|_| trace += &format!("{}\n", client.run_statement(&insert("order"))));
+    (0..5).for_each(|_| trace += &format!("{}\n", client.run_statement(&insert("order"))));
+    // The server closes behind its fifth answer. Until the gateway's kernel has received the close, the next statement
+    // would be sent on that connection and count as possibly executed.
+    wait_until_accepted_are_closed(primary.address.parse().unwrap());
+    trace += &format!("{}\n", client.run_statement(&insert("order")));
     trace += &gateway.shut_down(&[
         "answered",
         "ended.Answered",
--- a/crates/test-support/src/tcp_table.rs
+++ b/crates/test-support/src/tcp_table.rs
@@ -7,13 +7,22 @@
 
 use crate::wire::WAIT_LIMIT;
 
-/// Number of the state CLOSE_WAIT in the table: the peer has closed, the owner has not.
-const CLOSE_WAIT: u8 = 8;
+/// Numbers of states in the table, as in the kernel's `tcp_states.h`.
+mod state {
+    /// The peer has acknowledged this side's close and has not closed its own side.
+    pub(super) const FIN_WAIT2: u8 = 5;
+    /// Both sides have closed.
+    pub(super) const TIME_WAIT: u8 = 6;
+    /// The peer has closed, the owner has not.
+    pub(super) const CLOSE_WAIT: u8 = 8;
+    /// Waits for connections.
+    pub(super) const LISTEN: u8 = 10;
+}
 
 /// One socket, as the kernel has it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TcpSocket {
-    /// Number of its state, as in the kernel's `tcp_states.h`.
+    /// Number of its state, see [`state`].
     state: u8,
     /// Bytes that the owner has not read yet.
     unread_bytes: usize,
@@ -22,7 +31,7 @@
 impl TcpSocket {
     /// Returns whether the kernel has received the peer's close.
     pub fn is_closed_by_peer(&self) -> bool {
-        self.state == CLOSE_WAIT
+        self.state == state::CLOSE_WAIT
     }
 
     /// Returns whether there are bytes that the owner has not read yet.
@@ -37,43 +46,86 @@
     format!("{ip:08X}:{:04X}", address.port())
 }
 
-/// Finds the socket with these addresses in the text of the table.
-fn find_socket(table: &str, local: SocketAddrV4, remote: SocketAddrV4) -> Option<TcpSocket> {
-    let (local, remote) = (table_address(local), table_address(remote));
-    table.lines().find_map(|line| {
-        let mut fields = line.split_whitespace().skip(1);
-        if fields.next()? != local || fields.next()? != remote {
-            return None;
-        }
-        let state = u8::from_str_radix(fields.next()?, 16).ok()?;
-        let (_, unread) = fields.next()?.split_once(':')?;
-        Some(TcpSocket {
+/// A line of the table: the local and the remote address as the table has them, and the socket.
+struct Entry<'a> {
+    local: &'a str,
+    remote: &'a str,
+    socket: TcpSocket,
+}
+
+/// Parses a line of the table; `None` for the heading.
+fn parse_entry(line: &str) -> Option<Entry<'_>> {
+    let mut fields = line.split_whitespace().skip(1);
+    let (local, remote) = (fields.next()?, fields.next()?);
+    let state = u8::from_str_radix(fields.next()?, 16).ok()?;
+    let (_, unread) = fields.next()?.split_once(':')?;
+    let unread_bytes = usize::from_str_radix(unread, 16).ok()?;
+    Some(Entry {
+        local,
+        remote,
+        socket: TcpSocket {
             state,
-            unread_bytes: usize::from_str_radix(unread, 16).ok()?,
-        })
+            unread_bytes,
+        },
     })
 }
 
-/// Waits until the socket of `local`, connected to `remote`, satisfies `condition`. Panics after [`WAIT_LIMIT`].
-pub fn wait_for_socket(
-    local: SocketAddr,
-    remote: SocketAddr,
-    condition: impl Fn(&TcpSocket) -> bool,
-) {
-    let (SocketAddr::V4(local), SocketAddr::V4(remote)) = (local, remote) else {
-        panic!("not an IPv4 connection: {local} to {remote}");
+/// Returns the address of the table's format; panics for one of IPv6, which has a table of its own.
+fn ipv4_table_address(address: SocketAddr) -> String {
+    let SocketAddr::V4(address) = address else {
+        panic!("not an IPv4 address: {address}");
     };
+    table_address(address)
+}
+
+/// Reads the table until `check` accepts it; panics after [`WAIT_LIMIT`] with the last reason why it did not.
+fn wait_for_table(check: impl Fn(&[Entry<'_>]) -> Result<(), String>) {
     let started_at = Instant::now();
     loop {
         let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-        let socket = find_socket(&table, local, remote);
-        if socket.as_ref().is_some_and(&condition) {
+        let entries: Vec<Entry<'_>> = table.lines().filter_map(parse_entry).collect();
+        let Err(reason) = check(&entries) else {
             return;
-        }
-        assert!(
-            started_at.elapsed() < WAIT_LIMIT,
-            "socket of {local} connected to {remote}: {socket:?}"
-        );
+        };
+        assert!(started_at.elapsed() < WAIT_LIMIT, "{reason}");
         thread::yield_now();
     }
 }
+
+/// Waits until the socket of `local`, connected to `remote`, satisfies `condition`. Panics after [`WAIT_LIMIT`].
+pub fn wait_for_socket(
+    local: SocketAddr,
+    remote: SocketAddr,
+    condition: impl Fn(&TcpSocket) -> bool,
+) {
+    let (local_text, remote_text) = (ipv4_table_address(local), ipv4_table_address(remote));
+    wait_for_table(|entries| {
+        let mut matching = entries
+            .iter()
+            .filter(|entry| entry.local == local_text && entry.remote == remote_text);
+        match matching.next() {
+            Some(entry) if condition(&entry.socket) => Ok(()),
+            other => Err(format!(
+                "{local} connected to {remote}: {:?}",
+                other.map(|entry| entry.socket)
+            )),
+        }
+    });
+}
+
+/// Waits until all connections that were accepted at `listener` are closed on this side, and their peers' kernel has
+/// received the close. Panics after [`WAIT_LIMIT`].
+pub fn wait_until_accepted_are_closed(listener: SocketAddr) {
+    let local = ipv4_table_address(listener);
+    let is_closed =
+        |socket: &TcpSocket| matches!(socket.state, state::FIN_WAIT2 | state::TIME_WAIT);
+    wait_for_table(|entries| {
+        let mut open = entries.iter().filter(|entry| {
+            entry.local == local && entry.socket.state != state::LISTEN && !is_closed(&entry.socket)
+        });
+        match open.next() {
+            None => Ok(()),
+            Some(entry) => Err(format!("accepted at {listener}: {:?}", entry.socket)),
+        }
+    });
+}
