Admin client: a request that was not sent is tried again until the time limit

Cause: the request was queued once. A connection that is refused, or whose handshake takes over 1 s, ends with its queue, and the command waited for an answer to a request that nobody had.

Change: the connection is opened again as long as no attempt has sent the request, so that no change is requested twice; typed errors say whether it may have been carried out. Three tests in link.rs, for which there is no run on the former code, as its errors had no type.

--- a/crates/gateway/src/cli/members.rs
+++ b/crates/gateway/src/cli/members.rs
@@ -95,7 +95,8 @@
         request,
         random_numbers(),
     );
-    LocalSet::new().block_on(&runtime, response)
+    let response = LocalSet::new().block_on(&runtime, response);
+    response.map_err(|error| format!("{address}: {error}"))
 }
 
 /// Sends the request that the options describe and formats the response.
--- a/crates/peer-transport/tests/link.rs
+++ b/crates/peer-transport/tests/link.rs
@@ -9,6 +9,7 @@
 
 use bytes::BytesMut;
 use leverpoint_membership::Destination;
+use leverpoint_peer_transport::admin_client::{AdminRequestError, send_admin_request};
 use leverpoint_peer_transport::frame::{
     FrameError, Hello, Message, decode_hello, encode_hello, encode_message, length_codec,
     next_frame,
@@ -224,6 +225,15 @@
     })
 }
 
+/// Reads one frame with its length.
+fn read_frame(stream: &mut TcpStream) {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).unwrap();
+    stream
+        .read_exact(&mut vec![0; u32::from_be_bytes(length) as usize])
+        .unwrap();
+}
+
 /// Reads until the connection is closed.
 fn read_to_end(mut stream: TcpStream) -> usize {
     stream
@@ -268,11 +278,7 @@
         );
         // A valid greeting, then a frame that is signed for another connection.
         let mut stream = send(&encode_hello(&keys(1), &hello(1)).unwrap());
-        let mut length = [0; 4];
-        stream.read_exact(&mut length).unwrap();
-        stream
-            .read_exact(&mut vec![0; u32::from_be_bytes(length) as usize])
-            .unwrap();
+        read_frame(&mut stream);
         stream
             .write_all(
                 &SecureChannel::new(8, 9, Direction::FromOpener)
@@ -346,3 +352,73 @@
         );
     });
 }
+
+fn bootstrap(
+    address: SocketAddr,
+) -> impl Future<Output = Result<AdminResponse, AdminRequestError>> {
+    send_admin_request(address, fleet(1), AdminRequest::Bootstrap, Box::new(|| 8))
+}
+
+/// Guards against an operator's command that fails because the member stood still while the first connection was opened.
+#[test]
+fn an_admin_request_is_sent_again_after_a_connection_that_ended_before_it_was_sent() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let response = tokio::task::spawn_local(bootstrap(address));
+        drop(listener.accept().await.unwrap());
+        let server = Connections::new(address.to_string(), fleet(1), 4, Box::new(|| 7));
+        server.set_message_handler(Box::new(|connection, _| {
+            connection.send(&Message::AdminResponse(AdminResponse::Done));
+        }));
+        leverpoint_runtime::spawn(server.clone().accept(Listener::Tcp(listener)));
+        assert_eq!(response.await.unwrap(), Ok(AdminResponse::Done));
+        assert_eq!(server.counters().received, 1);
+    });
+}
+
+/// Sends an admin request to a peer whose first connection is served by `serve`. Returns the result, and whether another
+/// connection came.
+fn request_from(
+    serve: impl FnOnce(TcpStream) + Send + 'static,
+) -> (Result<AdminResponse, AdminRequestError>, bool) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepting = listener.try_clone().unwrap();
+    let served = std::thread::spawn(move || serve(accepting.accept().unwrap().0));
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let response = LocalSet::new().block_on(&runtime, bootstrap(address));
+    served.join().unwrap();
+    listener.set_nonblocking(true).unwrap();
+    (response, listener.accept().is_ok())
+}
+
+/// Guards against a change that is requested twice, and an operator who takes it for not made.
+#[test]
+fn an_admin_request_that_was_sent_is_not_sent_again_and_may_have_been_carried_out() {
+    let outcome = request_from(|mut stream| {
+        read_frame(&mut stream);
+        let greeting = encode_hello(&keys(1), &hello(1)).unwrap();
+        stream.write_all(&greeting).unwrap();
+        read_frame(&mut stream);
+    });
+    assert_eq!(outcome, (Err(AdminRequestError::Unanswered), false));
+}
+
+#[test]
+fn an_admin_request_to_another_fleet_is_given_up_unsent() {
+    let outcome = request_from(|mut stream| {
+        read_frame(&mut stream);
+        let greeting = encode_hello(&keys(2), &hello(1)).unwrap();
+        stream.write_all(&greeting).unwrap();
+        assert_eq!(read_to_end(stream), 0);
+    });
+    assert_eq!(outcome, (Err(AdminRequestError::OtherFleet), false));
+}
