--- a/review/stand-ins/src/bin/second_copy.rs
+++ b/review/stand-ins/src/bin/second_copy.rs
@@ -97,7 +97,7 @@
         });
     }
     let known = list(41, true, &targets);
-    let discovery = Discovery::start(41, targets, &record);
+    let discovery = Discovery::start(41, targets);
     let address = free_address();
     let text = configuration(
         &address,
--- a/review/stand-ins/src/gateway.rs
+++ b/review/stand-ins/src/gateway.rs
@@ -1,14 +1,29 @@
 //! The gateway: a process of its own, started with the command `run` of the deploy file.
 
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::client::{Answer, Client};
 
+/// Processes that run, by their ids.
+static RUNNING: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
+
+/// Kills all gateways that run.
+pub fn end_all() {
+    let running = RUNNING.lock().map(|mut ids| std::mem::take(&mut *ids));
+    for id in running.unwrap_or_default() {
+        let _ = Command::new("kill")
+            .args(["-KILL", &id.to_string()])
+            .status();
+    }
+}
+
 pub struct Gateway {
     child: Child,
     pub address: String,
@@ -52,6 +67,7 @@
         let path = folder().join(format!("{log}.json"));
         std::fs::write(&path, configuration).unwrap_or_else(|e| crate::cannot_run(&e.to_string()));
         let child = spawn(&path, arguments, &folder().join(format!("{log}.log")));
+        RUNNING.lock().unwrap().insert(child.id());
         let mut gateway = Gateway {
             child,
             address: address.to_owned(),
@@ -81,6 +97,7 @@
         let started = Instant::now();
         while started.elapsed() < limit {
             if let Ok(Some(status)) = self.child.try_wait() {
+                RUNNING.lock().unwrap().remove(&self.child.id());
                 return status.success();
             }
             thread::sleep(Duration::from_millis(10));
@@ -96,6 +113,7 @@
     fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        RUNNING.lock().unwrap().remove(&self.child.id());
     }
 }
 
--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -4,12 +4,12 @@
 pub mod discovery;
 pub mod gateway;
 pub mod record;
-pub mod relay;
 pub mod server;
 pub mod wire;
 
-/// Ends a case that could not run.
+/// Ends a case that could not run, and all gateways that it has started.
 pub fn cannot_run(reason: &str) -> ! {
+    gateway::end_all();
     eprintln!("cannot run: {reason}");
     std::process::exit(2);
 }
--- a/review/stand-ins/src/server.rs
+++ b/review/stand-ins/src/server.rs
@@ -2,6 +2,7 @@
 //!
 //! Positions are Unix times in milliseconds. A primary stands at the present; a replica stands where its log replay is.
 
+use std::collections::HashMap;
 use std::io::Write;
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -32,39 +33,59 @@
         })
 }
 
-/// The commits of a set, oldest first: position, key and value.
+/// The commits of a set, and the idempotency keys that it remembers.
 #[derive(Default)]
-pub struct Log(Mutex<Vec<(f64, String, String)>>);
+pub struct Log(Mutex<Commits>);
+
+#[derive(Default)]
+struct Commits {
+    /// Oldest first: position, key of the row and value.
+    rows: Vec<(f64, String, String)>,
+    /// By idempotency key: when the write last ran, and how often it has run.
+    runs: HashMap<String, (f64, u32)>,
+}
+
+/// Time for which a set drops repeats of a keyed write, from when it ran.
+pub const REMEMBERS_MS: f64 = 2_000.0;
 
 impl Log {
-    fn commit(&self, key: &str, value: &str) -> f64 {
+    /// Runs a write, or drops it as a repeat; returns its position, and how often it has run if it ran now.
+    fn commit(&self, mark: &str, key: &str, value: &str) -> (f64, Option<u32>) {
         let mut commits = self.0.lock().unwrap();
-        let at = unix_ms();
-        commits.push((at, key.to_owned(), value.to_owned()));
-        at
+        let now = unix_ms();
+        let (at, times) = commits.runs.get(mark).copied().unwrap_or_default();
+        if times > 0 && now - at < REMEMBERS_MS {
+            return (at, None);
+        }
+        commits.runs.insert(mark.to_owned(), (now, times + 1));
+        commits.rows.push((now, key.to_owned(), value.to_owned()));
+        (now, Some(times + 1))
     }
 
     fn read(&self, key: &str, position: f64) -> String {
         let commits = self.0.lock().unwrap();
         let visible = commits
+            .rows
             .iter()
             .rev()
             .find(|(at, k, _)| *at <= position && k == key);
         visible.map_or("nothing".to_owned(), |(_, _, value)| value.clone())
     }
-}
 
-/// A statement as it ran or was turned away.
-pub struct Served<'a> {
-    pub server: &'a str,
-    pub text: &'a str,
-    /// Time since the start of the case at which the statement's last byte was there.
-    pub received_ms: f64,
-    /// The same as a Unix time.
-    pub received_unix: f64,
-    /// Position of the data that it was answered from.
-    pub position: f64,
-    pub primary: bool,
+    /// How many writes have run more than once.
+    pub fn run_twice(&self) -> usize {
+        let commits = self.0.lock().unwrap();
+        commits
+            .runs
+            .values()
+            .filter(|(_, times)| *times > 1)
+            .count()
+    }
+
+    /// Whether the write with this idempotency key has run.
+    pub fn has_run(&self, mark: &str) -> bool {
+        self.0.lock().unwrap().runs.contains_key(mark)
+    }
 }
 
 pub struct Behaviour {
@@ -72,13 +93,8 @@
     pub primary: bool,
     pub work: Duration,
     pub slow: Vec<SlowReplay>,
-    /// Whether the server closes a connection behind each answer.
-    pub closes_after_answer: bool,
-    /// Whether it turns this statement away, as it drains.
-    pub turns_away: Box<dyn Fn() -> bool + Send + Sync>,
     /// Whether it closes the connection right behind the row of this statement.
     pub closes_behind_row: Box<dyn Fn(&str) -> bool + Send + Sync>,
-    pub on_served: Box<dyn Fn(&Served<'_>) + Send + Sync>,
 }
 
 impl Behaviour {
@@ -88,10 +104,7 @@
             primary,
             work: Duration::from_millis(work_ms),
             slow: Vec::new(),
-            closes_after_answer: false,
-            turns_away: Box::new(|| false),
             closes_behind_row: Box::new(|_| false),
-            on_served: Box::new(|_| {}),
         }
     }
 }
@@ -139,9 +152,7 @@
             continue;
         }
         let write = text.starts_with("INSERT");
-        let (mut out, data, result) = if (own.turns_away)() {
-            (wire::error("53300"), position(own), "53300")
-        } else if write && !own.primary {
+        let (mut out, data, result) = if write && !own.primary {
             (wire::error("25006"), position(own), "25006")
         } else {
             thread::sleep(own.work);
@@ -151,30 +162,30 @@
                     .nth(3)
                     .unwrap_or_default()
                     .trim_start_matches("\\x");
-                let at = log.commit(wire::key(&text), value);
-                (wire::row(value.as_bytes(), true), at, "ran")
+                let mark = wire::field(&text, "k").unwrap_or_default();
+                let (at, times) = log.commit(mark, wire::key(&text), value);
+                let result = match times {
+                    Some(1) => "ran",
+                    Some(_) => "RAN AGAIN",
+                    None => "dropped as a repeat",
+                };
+                (wire::row(value.as_bytes(), true), at, result)
             } else {
                 let at = position(own);
                 let value = log.read(wire::key(&text), at);
                 (wire::row(value.as_bytes(), false), at, "ran")
             }
         };
+        let executed = !result.starts_with(['5', '2']);
         record.line(&format!(
-            "{} received id={} c={} at {received_ms:.1}, {result}, data {:.0} ms old when it was received",
+            "{} received id={} c={} k={} at {received_ms:.1}, {result}, data {:.0} ms old when it was received",
             own.name,
             wire::field(&text, "id").unwrap_or_default(),
             wire::field(&text, "c").unwrap_or_default(),
+            wire::field(&text, "k").unwrap_or("-"),
             (received_unix - data).max(0.0),
         ));
-        (own.on_served)(&Served {
-            server: &own.name,
-            text: &text,
-            received_ms,
-            received_unix,
-            position: data,
-            primary: own.primary,
-        });
-        if result == "ran" && (own.closes_behind_row)(&text) {
+        if executed && (own.closes_behind_row)(&text) {
             record.line(&format!(
                 "{} closes the connection behind that row",
                 own.name
@@ -183,16 +194,13 @@
             return stream.shutdown(Shutdown::Both);
         }
         // Of a write the position is its commit.
-        let reported = if write && result == "ran" {
+        let reported = if write && executed {
             data
         } else {
             position(own)
         };
         out.extend(wire::status(own.primary, reported));
         stream.write_all(&out)?;
-        if own.closes_after_answer {
-            return stream.shutdown(Shutdown::Both);
-        }
     }
 }
 
