--- a/review/stand-ins/src/bin/last_one_dies.rs
+++ b/review/stand-ins/src/bin/last_one_dies.rs
@@ -41,7 +41,7 @@
 fn statement(session: &str, value: usize, key: &str, left: Duration, marks: &str) -> String {
     let (id, d) = (new_id(), left.as_millis());
     format!(
-        "INSERT INTO records (k, v) VALUES ('{session}', '\\x{value:04x}') RETURNING v /* id={id},c=report,t=acme,d={d},k={key}{marks},cluster=1 */"
+        "INSERT INTO records (k, v) VALUES ('{session}', '\\x{value:04x}') RETURNING v /* id={id},c=household-update,t=acme,d={d},k={key}{marks},cluster=1 */"
     )
 }
 
@@ -69,7 +69,8 @@
                 .replace(
                     r#""aimMs":300.0,"deadlineMs":2000.0,"semantics":"token""#,
                     r#""aimMs":600.0,"deadlineMs":3000.0,"semantics":"token""#,
-                );
+                )
+                .replace("\"name\":\"report\"", "\"name\":\"household-update\"");
             let text = configuration(&addresses[n], &discovery.address, &known, &settings)
                 .replace("\"name\":\"n0\"", &format!("\"name\":\"n{n}\""))
                 .replace("8c1f30d27a5be964", &format!("8c1f30d27a5be96{n}"));
