--- a/review/stand-ins/src/bin/last_one_dies.rs
+++ b/review/stand-ins/src/bin/last_one_dies.rs
@@ -265,7 +265,7 @@
                     let address = fleet.addresses[number % LAST].clone();
                     let (record, log) = (record.clone(), log.clone());
                     thread::spawn(move || {
-                        let wait = REPEAT_AFTER + Duration::from_millis(20 * number as u64);
+                        let wait = REPEAT_AFTER + Duration::from_millis(40 * number as u64);
                         thread::sleep(wait.saturating_sub(sent.elapsed()));
                         let had_run = log.has_run(&key);
                         let left = CLIENT_TIMEOUT.saturating_sub(sent.elapsed());
