Answers: an answer without end no longer holds up the whole gateway

Callers saw: while one server sent small messages without end, no other client was answered and no timer ran, the attempt's own timeout included, for as long as the server went on.

Cause: the reader of an answer takes received bytes with try_read, which neither counted them nor yielded; only BufferedConnection::read yields each 64 KiB. As long as there is something to read the task keeps the one thread.

Change: try_read counts, read_received yields first.

--- a/crates/gateway/src/io/connection.rs
+++ b/crates/gateway/src/io/connection.rs
@@ -177,6 +177,7 @@
             0 => Err(ErrorKind::UnexpectedEof.into()),
             n => {
                 self.input.len += n;
+                self.bytes_since_yield += n;
                 Ok(n)
             }
         }
@@ -216,15 +217,20 @@
             self.readable().await?;
             match self.try_read() {
                 Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
-                Ok(n) => {
-                    self.bytes_since_yield += n;
-                    return Ok(n);
-                }
-                failed => return failed,
+                read => return read,
             }
         }
     }
 
+    /// Like [`Self::try_read`], but yields to other tasks first if the connection has transferred much since it last did.
+    ///
+    /// A loop that reads what has been received goes on for as long as the other side sends faster than the gateway
+    /// processes: without yielding it would hold up every timer and connection.
+    pub(crate) async fn read_received(&mut self) -> io::Result<usize> {
+        self.yield_if_due().await;
+        self.try_read()
+    }
+
     /// Yields to other tasks once [`YIELD_THRESHOLD`] bytes have been read or written.
     async fn yield_if_due(&mut self) {
         if self.bytes_since_yield >= YIELD_THRESHOLD {
--- a/crates/gateway/src/server/answer.rs
+++ b/crates/gateway/src/server/answer.rs
@@ -84,7 +84,7 @@
             read.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))?;
         } else {
             // Bytes that have been received are read without a timer.
-            match socket.try_read() {
+            match socket.read_received().await {
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     let next_check = now() + ticks_to_duration(self.slow_detector.check_interval());
                     timeout_at(next_check, socket.read())
--- a/crates/gateway/tests/races.rs
+++ b/crates/gateway/tests/races.rs
@@ -814,6 +814,36 @@
     assert!(gateway.counters().contains("ended.TimedOut=1 "));
 }
 
+/// Guards against a gateway that hangs as a whole, timers included, while one server sends faster than it parses.
+#[test]
+fn an_endless_answer_of_the_shortest_messages_delays_no_other_client() {
+    let endless = ManualServer::new();
+    let other = start_server("read-write", always_row("fine"));
+    let short_target_settings = settings(250, 3000, 60_000).replace("30000.0", "800.0");
+    let gateway = gateway(
+        &[
+            (&other.address, "read-write"),
+            (&endless.address, "read-only"),
+        ],
+        &short_target_settings,
+    );
+    let mut client = gateway.connect_client();
+    client.send(&query_message(&select("view")));
+    let mut connection = endless.accept_ready();
+    connection.read_statement().unwrap();
+    let notices = b"N\0\0\0\x04".repeat(64 << 10);
+    let mut writer = connection.stream.try_clone().unwrap();
+    // Writes until the gateway has closed the connection.
+    let writer_thread = thread::spawn(move || while writer.write_all(&notices).is_ok() {});
+    assert_eq!(
+        gateway.connect_client().run_statement(&insert("report")),
+        "T D fine C Z"
+    );
+    assert_eq!(client.read_response(), "T D fine C Z");
+    writer_thread.join().unwrap();
+    assert!(gateway.counters().contains("ended.TimedOut=1 "));
+}
+
 #[test]
 fn floods_of_disconnecting_clients_leave_nothing_behind() {
     let primary = ManualServer::new();
