Answers: a copy of an answer is served to no other request, and no write runs twice by one

Callers saw: a server sent a good answer twice, and the client whose request came next on that connection was given the row of the request before. A copy of a rejection made a write count as never run, and it was sent again while it ran.

Cause: the protocol ties answers to statements by order alone. A connection counted as in step once ReadyForQuery had come with nothing behind it; a copy still on the network arrives behind the next statement and was read as its answer.

Change: engine/answer_matching.rs compares each answer with the one before on its connection. One that differs passes at once. One that is equal, role and position included, is withheld; an empty query behind the statement settles it, as a server answers in order. A probe takes EmptyQueryResponse alone. The reader of answers is split into receiving, timing and meaning.

Why it works: what a server sent before it received a statement arrives ahead of the statement's answer, so a copy is always the next thing received, and equal to the answer before. No time is assumed.

Stand-ins answer empty queries now, as the protocol page has it; two answers of a hand-driven connection never have the same position.

--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -245,6 +245,15 @@
         self.engine.endpoints.replacements(self.server) == Some(self.server_replacements)
     }
 
+    /// Logs that the server has sent an earlier statement's answer a second time, which was taken for no other.
+    pub fn on_copy_discarded(&self) {
+        let engine = &self.engine;
+        if let Some(suppressed) = engine.discarded_answer_limiter.admit(engine.clock.now()) {
+            slog::warn!(engine.log, "copy of an answer discarded"; "server" => self.server, "address" => self.address.to_string(),
+                "suppressed" => suppressed);
+        }
+    }
+
     /// Waits until the request is finished, so that it needs no attempt any more.
     pub async fn request_finished(&self) {
         self.request_finished.wait().await;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -26,6 +26,7 @@
 use crate::clock::Clock;
 pub use crate::endpoints::EndpointEntry;
 use crate::endpoints::Endpoints;
+use crate::log_line_limiter::LogLineLimiter;
 use crate::metrics::Metrics;
 use crate::replicated_state::ReplicatedState;
 use crate::request::RequestStage;
@@ -141,6 +142,7 @@
     /// None if session tracking is not configured: only the router's own session positions apply then.
     pub session_consistency: Option<SessionConsistency>,
     pub(crate) log: slog::Logger,
+    pub(crate) discarded_answer_limiter: LogLineLimiter,
 }
 
 impl Engine {
@@ -167,6 +169,7 @@
             metrics,
             session_consistency,
             log,
+            discarded_answer_limiter: LogLineLimiter::default(),
         })
     }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,6 +6,7 @@
 
 #![warn(missing_docs)]
 
+pub mod answer_matching;
 mod attempt;
 pub mod attempt_error;
 mod attempts;
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -48,6 +48,10 @@
     pub list_timeouts: Counter,
     /// Client messages answered with an error, as they were invalid.
     pub rejected_messages: Counter,
+    /// Answers withheld at first, as they equal the one before on their connection.
+    pub repeated_answers: Counter,
+    /// Withheld answers that were copies of the one before and were discarded.
+    pub discarded_answers: Counter,
 }
 
 /// Counters of the connections of one side.
@@ -125,6 +129,8 @@
             ("list_refusals", &self.list_refusals),
             ("list_timeouts", &self.list_timeouts),
             ("bad_messages", &self.rejected_messages),
+            ("repeated_answers", &self.repeated_answers),
+            ("discarded_answers", &self.discarded_answers),
         ];
         for (name, counter) in totals {
             let _ = write!(out, "{name}={} ", counter.get());
--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use leverpoint_engine::answer_matching::AnswerDigest;
 use leverpoint_engine::attempt_error::Progress;
 use leverpoint_engine::descriptor_budget::DescriptorPermit;
 use leverpoint_engine::engine::Attempt;
@@ -14,13 +15,18 @@
 use crate::io::connection::BufferedConnection;
 use crate::postgres::messages::{self, DecodeResult};
 
+/// The message of a query without a statement; the server answers it at once and executes nothing.
+pub(super) const EMPTY_QUERY: &[u8] = b"Q\0\0\0\x05\0";
+
 /// An open connection, ready for statements.
 pub(super) struct ServerConnection {
     pub(super) socket: BufferedConnection,
     pub(super) address: SocketAddr,
     /// When the connection was opened or its last answer was complete.
     pub(super) idle_since: Instant,
-    metrics: Rc<Metrics>,
+    /// The answer to the last statement, if a copy of it may still arrive.
+    pub(super) last_answer: Option<AnswerDigest>,
+    pub(super) metrics: Rc<Metrics>,
     _descriptor: DescriptorPermit,
 }
 
@@ -51,6 +57,7 @@
             socket,
             address,
             idle_since: now(),
+            last_answer: None,
             metrics: metrics.clone(),
             _descriptor: descriptor,
         };
@@ -116,7 +123,7 @@
                     b"\0",
                 ]
             }
-            None => vec![b"Q\0\0\0\x05\0"],
+            None => vec![EMPTY_QUERY],
         };
         attempt.progress.set(Progress::NotWritten);
         self.socket.write(&parts, written).await
--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -1,6 +1,8 @@
 //! Connections to database servers, each of which runs one attempt at a time.
 
 mod answer;
+mod answer_progress;
+mod answer_reader;
 mod connection;
 mod pool;
 
--- a/crates/gateway/src/server/pool.rs
+++ b/crates/gateway/src/server/pool.rs
@@ -21,7 +21,7 @@
 use leverpoint_routing::api::{AttemptOutcome, Ticks};
 use leverpoint_runtime::{failpoint_active, now, since, sleep, sleep_until, spawn, timeout_at};
 
-use crate::server::answer::Answer;
+use crate::server::answer_reader::Answer;
 use crate::server::connection::ServerConnection;
 
 /// Pool of the connections to all servers.
--- a/crates/gateway/tests/races.rs
+++ b/crates/gateway/tests/races.rs
@@ -18,8 +18,8 @@
 };
 use leverpoint_test_support::tcp_table::{TcpSocket, wait_for_socket};
 use leverpoint_test_support::wire::{
-    READ_TAG, STARTUP_MESSAGE, WAIT_LIMIT, WRITE_TAG, deadline_ms, endpoint_list, http_ok, insert,
-    put_message, query_message, row_messages, select, target,
+    READ_TAG, STARTUP_MESSAGE, WAIT_LIMIT, WRITE_TAG, deadline_ms, empty_query_response,
+    endpoint_list, http_ok, insert, put_message, query_message, row_messages, select, target,
 };
 
 /// How long to watch for an event that must not happen. Events that must happen are awaited, not given a fixed time.
@@ -1184,3 +1184,116 @@
     assert_eq!(client.read_response(), "T D served C Z");
     assert_eq!(replica.statements.try_iter().count(), 0);
 }
+
+/// Guards against a client that is served another request's row, as the server sends that row twice and the copy arrives
+/// behind the next statement.
+#[test]
+fn a_copy_of_an_answer_is_not_served_to_the_next_request() {
+    for statement in [select("view"), insert("order")] {
+        let primary = ManualServer::new();
+        let gateway = gateway(&[(&primary.address, "read-write")], &default_settings());
+        let mut client = gateway.connect_client();
+        client.send(&query_message(&statement));
+        let mut connection = primary.accept_ready();
+        connection.answer_next("first", "read-write");
+        assert_eq!(client.read_response(), "T D first C Z");
+        client.send(&query_message(&statement));
+        connection.read_statement().unwrap();
+        connection.repeat_answer();
+        // The empty query shows that the gateway has received the copy.
+        assert_eq!(connection.read_statement().unwrap(), "");
+        connection.respond(&statement, "second", "read-write");
+        assert_eq!(client.read_response(), "T D second C Z");
+        // A server that sends copies gets a new connection.
+        client.send(&query_message(&statement));
+        let mut fresh = primary.accept_ready();
+        fresh.answer_next("third", "read-write");
+        assert_eq!(client.read_response(), "T D third C Z");
+        assert_eq!(connection.read_statement(), None);
+        assert_eq!(
+            gateway.shut_down(&["answered", "repeated_answers", "discarded_answers"]),
+            "answered=3 repeated_answers=1 discarded_answers=1 "
+        );
+    }
+}
+
+/// Guards against a write that runs twice, as the copy of an earlier rejection is taken for its own and it is sent again.
+#[test]
+fn a_copy_of_a_rejection_does_not_make_the_next_write_run_twice() {
+    let primary = ManualServer::new();
+    let gateway = gateway(&[(&primary.address, "read-write")], &default_settings());
+    let mut client = gateway.connect_client();
+    client.send(&query_message(&insert("order")));
+    let mut connection = primary.accept_ready();
+    connection.answer_next("first", "read-write");
+    assert_eq!(client.read_response(), "T D first C Z");
+    client.send(&query_message(&insert("order")));
+    connection.read_statement().unwrap();
+    connection.reject("53300", "read-write");
+    // The rejected write is sent again, as it has not run.
+    assert!(connection.read_statement().unwrap().starts_with("INSERT"));
+    connection.repeat_answer();
+    assert_eq!(connection.read_statement().unwrap(), "");
+    connection.respond(&insert("order"), "second", "read-write");
+    assert_eq!(client.read_response(), "T D second C Z");
+    assert_eq!(
+        gateway.shut_down(&["dispatched", "ended.Answered", "ended.Full"]),
+        "dispatched=3 ended.Answered=2 ended.Full=1 "
+    );
+}
+
+/// Guards against an answer that is dropped only because the one before was the same.
+#[test]
+fn an_answer_equal_to_the_one_before_is_delivered_once_an_empty_query_is_answered() {
+    let primary = ManualServer::new();
+    let gateway = gateway(&[(&primary.address, "read-write")], &default_settings());
+    let mut client = gateway.connect_client();
+    client.send(&query_message(&select("view")));
+    let mut connection = primary.accept_ready();
+    connection.answer_next("same", "read-write");
+    assert_eq!(client.read_response(), "T D same C Z");
+    client.send(&query_message(&select("view")));
+    connection.read_statement().unwrap();
+    connection.repeat_answer();
+    assert_eq!(connection.read_statement().unwrap(), "");
+    connection
+        .stream
+        .write_all(&empty_query_response("read-write"))
+        .unwrap();
+    assert_eq!(client.read_response(), "T D same C Z");
+    // The connection is used again.
+    client.send(&query_message(&select("view")));
+    connection.answer_next("other", "read-write");
+    assert_eq!(client.read_response(), "T D other C Z");
+    assert_eq!(
+        gateway.shut_down(&[
+            "answered",
+            "repeated_answers",
+            "discarded_answers",
+            "servers.opened"
+        ]),
+        "answered=3 repeated_answers=1 discarded_answers=0 servers.opened=1 "
+    );
+}
+
+/// Guards against an equal answer that is taken for the statement's where the server closes without settling it.
+#[test]
+fn a_write_with_an_unsettled_equal_answer_counts_as_possibly_executed() {
+    let primary = ManualServer::new();
+    let gateway = gateway(&[(&primary.address, "read-write")], &default_settings());
+    let mut client = gateway.connect_client();
+    client.send(&query_message(&insert("order")));
+    let mut connection = primary.accept_ready();
+    connection.answer_next("first", "read-write");
+    assert_eq!(client.read_response(), "T D first C Z");
+    client.send(&query_message(&insert("order")));
+    connection.read_statement().unwrap();
+    connection.repeat_answer();
+    assert_eq!(connection.read_statement().unwrap(), "");
+    drop(connection);
+    assert_eq!(client.read_response(), "E C58000 Z");
+    assert_eq!(
+        gateway.shut_down(&["answered", "failed", "ended.Reset"]),
+        "answered=1 failed=1 ended.Reset=1 "
+    );
+}
--- a/crates/simulator/src/gateway_script.rs
+++ b/crates/simulator/src/gateway_script.rs
@@ -80,6 +80,8 @@
     pub replicas_lag: f64,
     /// Servers that send corrupted replies.
     pub machines_spoil: f64,
+    /// Servers that send some of their replies twice.
+    pub machines_repeat: f64,
     /// Servers that lose all their connections at once.
     pub machines_reset: f64,
     /// Servers to which the primary role of their replica set is switched over.
@@ -128,6 +130,7 @@
     ListedAsGone(usize, bool),
     /// A gateway's clock is set to this offset from the true time.
     ClockSteps(usize, Ticks),
+    RepliesRepeated(usize, bool),
 }
 
 /// The request classes that clients of the simulator use.
@@ -278,6 +281,15 @@
         schedule(&mut rng, gateways, rates.clocks_step, &|g, on| {
             Fault::ClockSteps(g, if on { 20_000 } else { 0 })
         });
+        // Drawn only where it is used, so that the scripts of other scenarios stay the same.
+        if rates.machines_repeat > 0.0 {
+            schedule(
+                &mut rng,
+                server_count,
+                rates.machines_repeat,
+                &Fault::RepliesRepeated,
+            );
+        }
         faults.retain(|(_, fault)| {
             !matches!(fault, Fault::ServerUnreachable(_, false)) || rng.f64() >= for_good
         });
--- a/crates/simulator/src/planted_faults.rs
+++ b/crates/simulator/src/planted_faults.rs
@@ -10,7 +10,7 @@
 use crate::scenarios;
 
 /// The failpoint's name and the scenario that is expected to detect the fault.
-pub const PLANTED_FAULTS: [(&str, &str); 30] = [
+pub const PLANTED_FAULTS: [(&str, &str); 31] = [
     ("answer-twice", "calm"),
     ("other-value", "calm"),
     ("panic", "calm"),
@@ -22,6 +22,7 @@
     ("time-out-never-ran", "cold-start"),
     ("sent-again", "garbage"),
     ("unchecked", "garbage"),
+    ("copy-taken", "garbage"),
     ("drain-overlooked", "rolling-deploy"),
     ("token-forgotten", "lists-lie"),
     ("cold-flooded", "cold-start"),
--- a/crates/simulator/src/run.rs
+++ b/crates/simulator/src/run.rs
@@ -91,6 +91,7 @@
                 self.cluster.replica_sets.borrow_mut()[set].pause_replay(now, member, on);
             }
             Fault::RepliesCorrupted(m, on) => self.cluster.corrupts_responses.borrow_mut()[m] = on,
+            Fault::RepliesRepeated(m, on) => self.cluster.repeats_responses.borrow_mut()[m] = on,
             Fault::ConnectionsReset(m) => {
                 // All its connections are reset; the host stays up.
                 let process = self.server_process(m);
@@ -190,6 +191,7 @@
             endpoint_list: RefCell::default(),
             list_published: Notify::new(),
             corrupts_responses: RefCell::new(vec![false; server_count]),
+            repeats_responses: RefCell::new(vec![false; server_count]),
             agent_is_silent: RefCell::new(vec![false; scenario.gateways]),
             agent_silence_count: RefCell::new(vec![0; scenario.gateways]),
             agent_revision: RefCell::new(vec![None; scenario.gateways]),
--- a/crates/simulator/src/run_context.rs
+++ b/crates/simulator/src/run_context.rs
@@ -156,6 +156,8 @@
     pub(crate) list_published: Notify,
     /// By server: whether it corrupts the framing of about half of its responses.
     pub(crate) corrupts_responses: RefCell<Vec<bool>>,
+    /// By server: whether it sends about a quarter of its responses twice.
+    pub(crate) repeats_responses: RefCell<Vec<bool>>,
     /// By gateway: whether its agent learns and answers nothing at present.
     pub(crate) agent_is_silent: RefCell<Vec<bool>>,
     /// By gateway: how often its agent has become silent.
--- a/crates/simulator/src/servers.rs
+++ b/crates/simulator/src/servers.rs
@@ -11,6 +11,7 @@
 use leverpoint_cluster_model::replica_set::{self, Reply};
 use leverpoint_runtime::{Listener, sleep};
 use leverpoint_test_support::replica_set::{comment_value, encode_response, encode_status};
+use leverpoint_test_support::wire::put_message;
 
 use crate::checker::ExecutionStatus;
 use crate::gateway_script::RequestClass;
@@ -53,6 +54,14 @@
             let sql = String::from_utf8_lossy(&body)
                 .trim_end_matches('\0')
                 .to_owned();
+            if sql.is_empty() {
+                let is_primary = self.cluster.replica_sets.borrow()[set].is_primary(member);
+                let mut response = Vec::new();
+                put_message(&mut response, b'I', b"");
+                encode_status(&mut response, is_primary, None);
+                connection.write_all(&response).await?;
+                continue;
+            }
             let Some(id) = comment_value(&sql, "id").map(str::to_owned) else {
                 return Ok(());
             };
@@ -163,7 +172,25 @@
                 Some(START_UNIX_TIME.as_millis() as f64 + applied_position as f64 / 10.0),
             );
             connection.write_all(&response).await?;
+            if self.cluster.repeats_responses.borrow()[n] && self.sim.rng.borrow_mut().u8(..4) == 0
+            {
+                self.repeat_response(&mut connection, &response).await?;
+            }
+        }
+    }
+
+    /// Sends a response a second time, shortly after the first, unless a further statement has arrived by then.
+    async fn repeat_response(
+        &self,
+        connection: &mut WireStream,
+        response: &[u8],
+    ) -> std::io::Result<()> {
+        let delay_us = self.sim.rng.borrow_mut().u64(100..=1_000);
+        sleep(Duration::from_micros(delay_us)).await;
+        if connection.has_input()? {
+            return Ok(());
         }
+        connection.write_all(response).await
     }
 }
 
--- a/crates/simulator/src/wire_stream.rs
+++ b/crates/simulator/src/wire_stream.rs
@@ -51,6 +51,20 @@
         !self.buffer.is_empty()
     }
 
+    /// Whether bytes have arrived that no message has used, those not read yet included.
+    ///
+    /// Fails with the error of the connection, or with `UnexpectedEof` at the end of the stream.
+    pub(crate) fn has_input(&mut self) -> io::Result<bool> {
+        let mut bytes = [0; 4 << 10];
+        match self.stream.try_read(&mut [IoSliceMut::new(&mut bytes)]) {
+            Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+            Ok(n) => self.buffer.extend_from_slice(&bytes[..n]),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+        Ok(self.has_unread_bytes())
+    }
+
     fn take_bytes(&mut self, n: usize) -> Vec<u8> {
         self.buffer.drain(..n).collect()
     }
--- a/crates/test-support/src/manual.rs
+++ b/crates/test-support/src/manual.rs
@@ -12,8 +12,8 @@
 use crate::addresses::bind_listener;
 use crate::agent::Agent;
 use crate::wire::{
-    READ_TAG, WAIT_LIMIT, WRITE_TAG, endpoint_list, put_message, read_message, row_messages,
-    target, unix_ms,
+    READ_TAG, WAIT_LIMIT, WRITE_TAG, endpoint_list, put_message, put_status, read_message,
+    row_messages, target, unix_ms,
 };
 
 /// A database server that accepts connections; everything else is up to the test.
@@ -64,7 +64,7 @@
             stream.set_nodelay(true).unwrap();
             let mut startup = [0; 32];
             if stream.read_exact(&mut startup).is_ok() {
-                return ManualConnection { stream };
+                return ManualConnection::new(stream);
             }
         }
     }
@@ -92,9 +92,19 @@
 pub struct ManualConnection {
     /// The connection, without Nagle's algorithm. Reads time out after [`WAIT_LIMIT`].
     pub stream: TcpStream,
+    last_answer: Vec<u8>,
+    last_position: u128,
 }
 
 impl ManualConnection {
+    fn new(stream: TcpStream) -> ManualConnection {
+        ManualConnection {
+            stream,
+            last_answer: Vec::new(),
+            last_position: 0,
+        }
+    }
+
     /// Sends AuthenticationOk and ReadyForQuery; returns whether the write succeeded.
     pub fn try_send_ready(&mut self) -> bool {
         self.stream
@@ -116,22 +126,37 @@
     }
 
     /// Answers `statement` with a row of this value, the role `mode` (`read-write` or `read-only`), the current time as
-    /// replication position, and ReadyForQuery.
+    /// replication position, and ReadyForQuery. No two answers of a connection have the same position.
     pub fn respond(&mut self, statement: &str, value: &str, mode: &str) {
         let command_tag = if statement.starts_with("INSERT") {
             WRITE_TAG
         } else {
             READ_TAG
         };
+        self.last_position = unix_ms().max(self.last_position + 1);
         let mut out = row_messages(value, command_tag);
-        put_message(&mut out, b'S', format!("mode\0{mode}\0").as_bytes());
+        put_status(&mut out, mode, self.last_position);
+        self.stream.write_all(&out).unwrap();
+        self.last_answer = out;
+    }
+
+    /// Answers with an error of this SQLSTATE, and role and position as [`ManualConnection::respond`] does.
+    pub fn reject(&mut self, sqlstate: &str, mode: &str) {
+        self.last_position = unix_ms().max(self.last_position + 1);
+        let mut out = Vec::new();
         put_message(
             &mut out,
-            b'S',
-            format!("wal_time\0{}\0", unix_ms()).as_bytes(),
+            b'E',
+            format!("SERROR\0C{sqlstate}\0Mno\0\0").as_bytes(),
         );
-        put_message(&mut out, b'Z', b"I");
+        put_status(&mut out, mode, self.last_position);
         self.stream.write_all(&out).unwrap();
+        self.last_answer = out;
+    }
+
+    /// Sends the last answer a second time, to the byte.
+    pub fn repeat_answer(&mut self) {
+        self.stream.write_all(&self.last_answer).unwrap();
     }
 
     /// Closes the connection with a TCP reset.
--- a/crates/test-support/src/replica_set.rs
+++ b/crates/test-support/src/replica_set.rs
@@ -18,8 +18,8 @@
 use crate::pace::{Pace, write_paced};
 use crate::values::{expected_value, value_length};
 use crate::wire::{
-    READ_TAG, WRITE_TAG, endpoint_list, put_message, read_message, row_messages_from_bytes, target,
-    unix_ms,
+    READ_TAG, WRITE_TAG, empty_query_response, endpoint_list, put_message, read_message,
+    row_messages_from_bytes, target, unix_ms,
 };
 
 /// A replica set without replication lag or cold starts and with more slots than tests use, which drops keyed retries for
@@ -310,6 +310,15 @@
     loop {
         let (_, body) = read_message(&mut stream)?;
         let text = std::str::from_utf8(&body).ok()?.trim_end_matches('\0');
+        if text.is_empty() {
+            let mode = if set.primary() == Some(index) {
+                "read-write"
+            } else {
+                "read-only"
+            };
+            stream.write_all(&empty_query_response(mode)).ok()?;
+            continue;
+        }
         let id = comment_value(text, "id")?;
         let max_wait = comment_value(text, "d")
             .and_then(|ms| ms.parse().ok())
--- a/crates/test-support/src/server.rs
+++ b/crates/test-support/src/server.rs
@@ -1,5 +1,5 @@
 //! A database server that carries out a script, one action for each statement, whatever the statement says (only the
-//! command tag of a row follows from it).
+//! command tag of a row follows from it). An empty query is answered at once and takes no action of the script.
 
 use std::collections::VecDeque;
 use std::io::{Read, Write};
@@ -11,7 +11,8 @@
 use crate::addresses::bind_listener;
 use crate::pace::{Pace, write_paced};
 use crate::wire::{
-    READ_TAG, WAIT_LIMIT, WRITE_TAG, put_message, read_message, row_messages, unix_ms,
+    READ_TAG, WAIT_LIMIT, WRITE_TAG, empty_query_response, put_message, put_status, read_message,
+    row_messages, unix_ms,
 };
 
 /// What a test server does with a statement.
@@ -83,6 +84,10 @@
     stream.write_all(b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I").ok()?;
     loop {
         let (_, body) = read_message(&mut stream)?;
+        if body == b"\0" {
+            stream.write_all(&empty_query_response(mode)).ok()?;
+            continue;
+        }
         statement_tx
             .send(String::from_utf8_lossy(&body[..body.len() - 1]).into_owned())
             .ok()?;
@@ -126,14 +131,7 @@
             }
         }
         let row_end = out.len();
-        // Role and position follow the row, each in a ParameterStatus message of its own.
-        put_message(&mut out, b'S', format!("mode\0{mode}\0").as_bytes());
-        put_message(
-            &mut out,
-            b'S',
-            format!("wal_time\0{}\0", unix_ms()).as_bytes(),
-        );
-        put_message(&mut out, b'Z', b"I");
+        put_status(&mut out, mode, unix_ms());
         out.extend(trailing);
         write_paced(&mut stream, &out, row_end, pace).ok()?;
     }
--- a/crates/test-support/src/wire.rs
+++ b/crates/test-support/src/wire.rs
@@ -52,6 +52,22 @@
     out
 }
 
+/// Appends what follows each answer of a server: its role `mode` (`read-write` or `read-only`) and its replication
+/// position in milliseconds since the Unix epoch, each in a ParameterStatus message of its own, and ReadyForQuery.
+pub fn put_status(out: &mut Vec<u8>, mode: &str, position: u128) {
+    put_message(out, b'S', format!("mode\0{mode}\0").as_bytes());
+    put_message(out, b'S', format!("wal_time\0{position}\0").as_bytes());
+    put_message(out, b'Z', b"I");
+}
+
+/// Returns a server's complete answer to an empty query.
+pub fn empty_query_response(mode: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    put_message(&mut out, b'I', b"");
+    put_status(&mut out, mode, unix_ms());
+    out
+}
+
 /// Command tag of a read that returned one row.
 pub const READ_TAG: &str = "SELECT 1";
 /// Command tag of a write that inserted one row.
