Replication: a key does not run again after members died one behind the other

Callers saw: with three gateways that replicate state, two die, the third answers without a quorum and dies too, all return with their folders. A marked repeat past its key's window ran a second time, and a session's read through one of the first two missed its write.

Cause: that a member may have answered without a quorum was known in memory alone, by an expired lease at the others and by answered_until at itself. Members that start anew take the first incarnation they see for the first there ever was, and the third reports 0.

Without the change a_retry_is_unclear_after_members_died_one_behind_the_other gets FirstAttempt, and session_reads_are_inexact_after_members_died_one_behind_the_other the position before the write.

Change: degraded_mode.rs. The storage is marked before the first write without a quorum is cleared; a start with the mark, or with a storage that can't tell, reports the time of the start in its renewals. A member that comes without the storage that the layout names counts as unaccounted for at holders that have just started. The stored value follows the metadata, where earlier programs do not read on.

Why it works: nobody counts a member as accounted for before its first renewal, which carries the report, and a holder persists its raised low watermark before it renews the lease. A fleet that dies at once has no mark and loses nothing (members_that_die_at_once_lose_nothing).

Write times before and after: not measured.

--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -74,6 +74,24 @@
     })
 }
 
+/// Encodes the metadata for the log; `None` if it cannot be serialized.
+///
+/// What earlier programs did not record follows behind the rest, where they do not read it.
+fn encode_metadata(storage_id: u64, metadata: &PersistedMetadata) -> Option<Vec<u8>> {
+    let mut value = postcard::to_stdvec(&(storage_id, metadata)).ok()?;
+    value.extend(postcard::to_stdvec(&metadata.unreplicated_until).ok()?);
+    Some(value)
+}
+
+/// Decodes storage id and metadata from the log.
+fn decode_metadata(value: &[u8]) -> Option<(u64, PersistedMetadata)> {
+    let ((storage_id, mut metadata), rest) =
+        postcard::take_from_bytes::<(u64, PersistedMetadata)>(value).ok()?;
+    // An earlier program's value ends here, so that is unknown.
+    metadata.unreplicated_until = postcard::from_bytes(rest).unwrap_or_default();
+    Some((storage_id, metadata))
+}
+
 impl ReplicationStore for RecordWriter {
     fn persist(
         &self,
@@ -82,8 +100,7 @@
         on_persisted: Box<dyn FnOnce(bool)>,
     ) {
         let mut log_records: Vec<LogRecord> = records.iter().filter_map(log_record).collect();
-        let metadata =
-            metadata.and_then(|metadata| postcard::to_stdvec(&(self.storage_id, metadata)).ok());
+        let metadata = metadata.and_then(|metadata| encode_metadata(self.storage_id, &metadata));
         log_records.extend(metadata.map(|value| LogRecord::Replicated {
             key: METADATA_KEY,
             last_touched: Ticks::MAX,
@@ -118,7 +135,7 @@
     let stored_metadata = read
         .replicated_records
         .get(&METADATA_KEY)
-        .and_then(|(_, value)| postcard::from_bytes::<(u64, PersistedMetadata)>(value).ok());
+        .and_then(|(_, value)| decode_metadata(value));
     let is_complete = read.torn_records.is_empty();
     if !is_complete {
         slog::error!(log, "replication log file truncated; records may be lost";
--- a/crates/peer-transport/src/replication_runtime.rs
+++ b/crates/peer-transport/src/replication_runtime.rs
@@ -259,7 +259,7 @@
                 .borrow_mut()
                 .on_persisted(self.now(), sequence)
         } else {
-            self.replicator.borrow_mut().on_persist_failed()
+            self.replicator.borrow_mut().on_persist_failed(self.now())
         };
         self.perform(actions);
     }
--- a/crates/replication/src/action.rs
+++ b/crates/replication/src/action.rs
@@ -28,6 +28,11 @@
     pub low_watermark: Ticks,
     /// Layouts in force, oldest first.
     pub layouts: Vec<Layout>,
+    /// Writes may have been answered without a quorum up to this time: 0 if there were none, [`Ticks::MAX`] while that goes
+    /// on, none if the storage is of a program that did not record it. Kept apart from the other fields, whose form
+    /// other programs read.
+    #[serde(skip)]
+    pub unreplicated_until: Option<Ticks>,
 }
 
 /// Result of a write or read that the runtime has begun.
--- a/crates/replication/src/coordinator.rs
+++ b/crates/replication/src/coordinator.rs
@@ -110,6 +110,16 @@
         self.writes.on_persisted_locally(ctx, id, key);
     }
 
+    /// Clears the writes that have waited until the storage is marked as degraded.
+    pub(crate) fn clear_awaiting_marker(&mut self, state: &mut MemberState, now: Ticks) {
+        let ctx = &mut Context {
+            state,
+            queues: &mut self.queues,
+            now,
+        };
+        self.writes.clear_awaiting_marker(ctx);
+    }
+
     /// Handles a replica's reply. Returns false if it answers no request of the outbound queues.
     pub(crate) fn on_reply(
         &mut self,
--- a/crates/replication/src/lease.rs
+++ b/crates/replication/src/lease.rs
@@ -117,19 +117,26 @@
     }
 
     /// Records an incarnation of a member; one that is newer than the known one starts without a lease.
+    ///
+    /// `listed_storage_id` is the storage by which the newest layout names the member. Whether the first incarnation
+    /// known to this process follows on one that has answered without a quorum, its storage says; one that comes
+    /// without that storage can't tell.
     pub(crate) fn on_incarnation_observed(
         &mut self,
         now: Ticks,
         name: &str,
         incarnation: u64,
         storage_id: u64,
+        listed_storage_id: Option<u64>,
     ) -> LeaseChange {
         let peer = self.peers.entry(name.to_owned()).or_default();
         let known = (peer.incarnation, peer.storage_id) == (incarnation, storage_id);
         if known || incarnation < peer.incarnation {
             return LeaseChange::Nothing;
         }
-        let unaccounted = peer.incarnation > 0 && !peer.is_accounted_for(now);
+        let lost_storage =
+            listed_storage_id.is_some_and(|listed| listed != 0 && listed != storage_id);
+        let unaccounted = (peer.incarnation > 0 || lost_storage) && !peer.is_accounted_for(now);
         *peer = PeerLease {
             incarnation,
             storage_id,
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -16,6 +16,7 @@
 mod anti_entropy;
 pub mod config;
 mod coordinator;
+mod degraded_mode;
 pub mod hinted_handoff;
 pub mod idempotency;
 pub mod layout_history;
--- a/crates/replication/src/member_state.rs
+++ b/crates/replication/src/member_state.rs
@@ -14,6 +14,7 @@
 use crate::Ticks;
 use crate::action::{Action, LocalMember, PersistedMetadata, ReplicationEvent};
 use crate::config::ReplicationConfig;
+use crate::degraded_mode::DegradedMode;
 use crate::layout_history::LayoutHistory;
 use crate::lease::{LeaseChange, LeaseTable};
 use crate::message::{Envelope, Message, RejectReason};
@@ -31,17 +32,6 @@
     xxh3_64_with_seed(name.as_bytes(), incarnation)
 }
 
-/// State of the writes that are served without a quorum.
-#[derive(Debug, Default)]
-pub(crate) struct DegradedMode {
-    /// Number of open writes that were cleared without a quorum.
-    pub(crate) open_writes: usize,
-    /// Upper bound of the positions of all writes answered without a quorum; 0 if there were none.
-    pub(crate) answered_until: Ticks,
-    /// Time until which this member does not renew its leases.
-    pub(crate) leases_paused_until: Ticks,
-}
-
 /// Whether this member participates in replication.
 #[derive(Debug, Default)]
 pub(crate) struct Participation {
@@ -176,6 +166,7 @@
         PersistedMetadata {
             low_watermark: self.store.low_watermark(),
             layouts: self.layout_history.layouts().cloned().collect(),
+            unreplicated_until: Some(self.degraded.recorded_until()),
         }
     }
 
@@ -247,6 +238,18 @@
         (!self.has_layout_quorum(now)).then_some(RejectReason::Partitioned)
     }
 
+    /// Whether the disk has failed, so that nothing is persisted any more.
+    pub(crate) fn has_disk_failed(&self) -> bool {
+        self.persistence.has_failed()
+    }
+
+    /// Marks the storage as one of a member that serves without a quorum, unless that is under way.
+    pub(crate) fn mark_degraded(&mut self) {
+        if self.degraded.begin_marking() {
+            self.persist_metadata(Some(PendingCompletion::DegradedMarked));
+        }
+    }
+
     /// Whether another write may wait for the disk.
     pub(crate) fn has_capacity(&self) -> bool {
         self.persistence.has_capacity()
--- a/crates/replication/src/persistence.rs
+++ b/crates/replication/src/persistence.rs
@@ -32,6 +32,8 @@
     },
     /// Marks this member as in sync with a layout: it has received all of its records.
     InSync { layout_version: u64 },
+    /// Clears the writes that wait until the storage is marked as degraded.
+    DegradedMarked,
     /// Renews the lease of a member whose renewal has raised the low watermark.
     LeaseRenewed {
         to: String,
--- a/crates/replication/src/replicator.rs
+++ b/crates/replication/src/replicator.rs
@@ -209,9 +209,17 @@
     fn observe_incarnation(&mut self, now: Ticks, name: &str, incarnation: u64, storage_id: u64) {
         let state = &mut self.state;
         let previous = state.leases.incarnation(name);
-        let change = state
-            .leases
-            .on_incarnation_observed(now, name, incarnation, storage_id);
+        let layout = state.layout_history.newest();
+        let listed_storage_id = layout
+            .and_then(|layout| layout.holder(name))
+            .map(|h| h.storage_id);
+        let change = state.leases.on_incarnation_observed(
+            now,
+            name,
+            incarnation,
+            storage_id,
+            listed_storage_id,
+        );
         if previous > 0 && previous < incarnation {
             state.on_writer_ended(writer_id(name, previous));
         }
@@ -280,6 +288,10 @@
                 self.coordinator
                     .on_persisted_locally(state, now, operation, key);
             }
+            PendingCompletion::DegradedMarked => {
+                state.degraded.on_marked();
+                self.coordinator.clear_awaiting_marker(state, now);
+            }
             PendingCompletion::LeaseRenewed {
                 to,
                 request_id,
@@ -302,8 +314,9 @@
     }
 
     /// Handles a disk failure: nothing is persisted any more, and this member no longer acts as a replica.
-    pub fn on_persist_failed(&mut self) -> Vec<Action> {
+    pub fn on_persist_failed(&mut self, now: Ticks) -> Vec<Action> {
         self.state.on_persist_failed();
+        self.coordinator.clear_awaiting_marker(&mut self.state, now);
         self.take_actions()
     }
 
@@ -367,17 +380,21 @@
 
 /// Restores the state that an earlier incarnation has persisted.
 fn restore(state: &mut MemberState, now: Ticks, recovered: &RecoveredState) {
+    let latest = now + state.config.max_clock_skew;
     match &recovered.metadata {
         Some(metadata) => {
             state.store.raise_low_watermark(metadata.low_watermark);
             state.layout_history.restore(now, &metadata.layouts);
+            state.degraded.restore(metadata.unreplicated_until, latest);
         }
         // Records may be lost although layouts name this member as a replica that has them.
         None => {
-            let until = now + state.config.max_clock_skew;
-            state.store.raise_low_watermark(until);
+            state.store.raise_low_watermark(latest);
+            state.degraded.restore(None, latest);
         }
     }
+    let unreplicated_until = state.degraded.unreplicated_until();
+    state.store.raise_low_watermark(unreplicated_until);
     for record in recovered.records.iter().filter(|record| record.is_valid()) {
         state.store.merge(record);
     }
--- a/crates/replication/src/replicator/lease_renewal.rs
+++ b/crates/replication/src/replicator/lease_renewal.rs
@@ -34,7 +34,7 @@
         };
         let message = Message::RenewLease {
             echoed_time,
-            unreplicated_until: state.degraded.answered_until,
+            unreplicated_until: state.degraded.unreplicated_until(),
             synced_version: state.sync.layout_version,
         };
         state.send(name, request_id, message);
--- a/crates/replication/src/write_coordinator.rs
+++ b/crates/replication/src/write_coordinator.rs
@@ -43,6 +43,8 @@
     open: BTreeMap<u64, OpenWrite>,
     sessions: LocalSessions,
     quorum_lost: bool,
+    /// Tickets of writes that are cleared without a quorum once the storage is marked as degraded.
+    awaiting_marker: Vec<u64>,
 }
 
 impl WriteCoordinator {
--- a/crates/replication/src/write_coordinator/degraded.rs
+++ b/crates/replication/src/write_coordinator/degraded.rs
@@ -23,6 +23,8 @@
             && ctx.state.has_layout_quorum(ctx.now)
         {
             self.quorum_lost = false;
+            ctx.state.degraded.end_marking();
+            ctx.state.persist_metadata(None);
             let event = ReplicationEvent::QuorumRestored;
             ctx.state.actions.push(Action::Notify(event));
         }
@@ -86,7 +88,6 @@
     }
 
     fn clear_without_quorum(&mut self, ctx: &mut Context<'_>, ticket: u64) {
-        ctx.state.counters.writes_without_quorum += 1;
         ctx.state.degraded.open_writes += 1;
         if let Some(open) = self.open.get_mut(&ticket) {
             open.clearance = WriteClearance::WithoutQuorum;
@@ -95,8 +96,22 @@
             let event = ReplicationEvent::QuorumLost;
             ctx.state.actions.push(Action::Notify(event));
         }
-        let completion = Completion::WithoutQuorum { ticket };
-        ctx.state.actions.push(Action::Complete(completion));
+        self.awaiting_marker.push(ticket);
+        ctx.state.mark_degraded();
+        if ctx.state.degraded.is_marked() || ctx.state.has_disk_failed() {
+            self.clear_awaiting_marker(ctx);
+        }
+    }
+
+    /// Clears the open writes that have waited until the storage is marked as degraded.
+    pub(crate) fn clear_awaiting_marker(&mut self, ctx: &mut Context<'_>) {
+        for ticket in std::mem::take(&mut self.awaiting_marker) {
+            if self.open.contains_key(&ticket) {
+                ctx.state.counters.writes_without_quorum += 1;
+                let completion = Completion::WithoutQuorum { ticket };
+                ctx.state.actions.push(Action::Complete(completion));
+            }
+        }
     }
 }
 
--- a/crates/replication/tests/replicator.rs
+++ b/crates/replication/tests/replicator.rs
@@ -142,7 +142,7 @@
                         return;
                     };
                     let actions = if self.failed_disks.contains(&n) {
-                        member.on_persist_failed()
+                        member.on_persist_failed(now)
                     } else {
                         member.on_persisted(now, persist_sequence)
                     };
@@ -668,3 +668,135 @@
             .is_empty()
     );
 }
+
+/// Members 0 and 1 have died, and member 2 has then begun a keyed write without a quorum and died with it open.
+fn cluster_whose_last_member_answered_without_quorum() -> Cluster {
+    let mut cluster = Cluster::new(3);
+    cluster.members.remove(&0);
+    cluster.members.remove(&1);
+    // Longer than a lease with its drift margin.
+    cluster.advance(30_000);
+    let ticket = cluster.begin_write(2, 7, claim(5, 1, 0, false));
+    assert_eq!(
+        cluster.completion(2, ticket),
+        Completion::WithoutQuorum { ticket }
+    );
+    cluster.members.remove(&2);
+    cluster
+}
+
+/// Starts a member again from what its storage holds, or with new storage of this id.
+fn restart(cluster: &mut Cluster, n: usize, new_storage_id: Option<u64>) {
+    let recovered = new_storage_id.is_none().then(|| {
+        let (metadata, records) = cluster.persisted.entry(n).or_default().clone();
+        RecoveredState {
+            metadata,
+            records: records.into_values().collect(),
+        }
+    });
+    let storage_id = new_storage_id.unwrap_or(n as u64 + 1);
+    let member = Replicator::new(
+        cluster.now,
+        local_member(n, 2, storage_id),
+        ReplicationConfig::default(),
+        recovered,
+    );
+    cluster.members.insert(n, member);
+}
+
+/// Guards against a key that runs again: members that start anew take a repeat for a first attempt, although another one
+/// has answered without a quorum while they were away.
+#[test]
+fn a_retry_is_unclear_after_members_died_one_behind_the_other() {
+    for lost_storage in [None, Some(9)] {
+        let mut cluster = cluster_whose_last_member_answered_without_quorum();
+        cluster.advance(5_000);
+        restart(&mut cluster, 0, None);
+        restart(&mut cluster, 1, None);
+        restart(&mut cluster, 2, lost_storage);
+        cluster.adopt_layout_everywhere(&layout(1, &[(0, 1), (1, 2), (2, 3)]));
+        cluster.advance(20_000);
+        let retry = cluster.begin_write(0, 7, claim(5, 2, 0, true));
+        assert_eq!(
+            cluster.completion(0, retry),
+            Completion::QuorumAcknowledged {
+                ticket: retry,
+                decision: IdempotencyDecision::OutcomeUnknown
+            }
+        );
+        let first_attempt = cluster.begin_write(1, 8, claim(6, 3, 0, false));
+        assert_eq!(
+            cluster.completion(1, first_attempt),
+            Completion::QuorumAcknowledged {
+                ticket: first_attempt,
+                decision: IdempotencyDecision::FirstAttempt
+            }
+        );
+    }
+}
+
+/// Guards against a session's read that misses its write, answered without a quorum by a member that died since.
+#[test]
+fn session_reads_are_inexact_after_members_died_one_behind_the_other() {
+    let mut cluster = cluster_whose_last_member_answered_without_quorum();
+    let died_at = cluster.now;
+    for n in 0..3 {
+        restart(&mut cluster, n, None);
+    }
+    cluster.adopt_layout_everywhere(&layout(1, &[(0, 1), (1, 2), (2, 3)]));
+    cluster.advance(20_000);
+    let required = cluster.required_position(0, 7);
+    assert!(
+        required.is_none_or(|position| position >= died_at),
+        "{required:?}"
+    );
+}
+
+#[test]
+fn members_that_die_at_once_lose_nothing() {
+    let mut cluster = Cluster::new(3);
+    let at = cluster.write_session(0, 7);
+    let ticket = cluster.begin_write(0, 7, claim(5, 1, 0, false));
+    assert!(matches!(
+        cluster.completion(0, ticket),
+        Completion::QuorumAcknowledged { .. }
+    ));
+    cluster.finish_write(0, ticket, WriteOutcome::Acknowledged(at + 10));
+    let low_watermark = cluster.low_watermark(1);
+    for n in 0..3 {
+        cluster.members.remove(&n);
+    }
+    cluster.advance(5_000);
+    for n in 0..3 {
+        restart(&mut cluster, n, None);
+    }
+    cluster.adopt_layout_everywhere(&layout(1, &[(0, 1), (1, 2), (2, 3)]));
+    cluster.advance(20_000);
+    assert_eq!(cluster.low_watermark(1), low_watermark);
+    assert_eq!(cluster.required_position(1, 7), Some(at + 10));
+}
+
+/// Guards against a storage that claims to have all when nothing says so: one that an earlier program has written.
+#[test]
+fn a_storage_that_does_not_say_whether_it_served_without_a_quorum_counts_as_not_whole() {
+    let mut cluster = Cluster::new(3);
+    cluster.write_session(0, 7);
+    for n in 0..3 {
+        cluster.members.remove(&n);
+    }
+    cluster
+        .persisted
+        .get_mut(&2)
+        .unwrap()
+        .0
+        .as_mut()
+        .unwrap()
+        .unreplicated_until = None;
+    let started_at = cluster.now;
+    for n in 0..3 {
+        restart(&mut cluster, n, None);
+    }
+    cluster.adopt_layout_everywhere(&layout(1, &[(0, 1), (1, 2), (2, 3)]));
+    cluster.advance(20_000);
+    assert!((0..3).all(|n| cluster.low_watermark(n) >= started_at));
+}
--- a/crates/simulator/src/member_fleet.rs
+++ b/crates/simulator/src/member_fleet.rs
@@ -110,6 +110,12 @@
     /// Maximum number of times that up to half of the members crash within one second.
     #[serde(default)]
     pub half_dies: f64,
+    /// Maximum number of times that all members crash, the last one some seconds after the others, and start again.
+    #[serde(default)]
+    pub die_in_turn: f64,
+    /// Probability that the last one to crash of these loses its disk.
+    #[serde(default)]
+    pub last_burns: f64,
 }
 
 fn default_fault_seconds() -> f64 {
@@ -270,6 +276,26 @@
                 faults.push((until + rng.i64(0..10_000), Fault::MemberStarts(index)));
             }
         }
+        for _ in 0..random_count(&mut rng, self.die_in_turn) {
+            let (at, last) = (fault_span(&mut rng).0, random_member(&mut rng));
+            // Longer than a lease, so that the last one serves without a quorum.
+            let last_dies = at + rng.i64(30_000..70_000);
+            let restart = last_dies + rng.i64(1_000..10_000);
+            for index in 0..members {
+                let dies = if index == last {
+                    last_dies
+                } else {
+                    at + rng.i64(0..1_000)
+                };
+                let crash = if index == last && rng.f64() < self.last_burns {
+                    Fault::MemberLosesDisk(index)
+                } else {
+                    Fault::MemberCrashes(index)
+                };
+                let starts = restart + rng.i64(0..10_000);
+                faults.extend([(dies, crash), (starts, Fault::MemberStarts(index))]);
+            }
+        }
         faults.sort_by_key(|(at, _)| *at);
         Script { members, faults }
     }
--- a/crates/simulator/src/planted_faults.rs
+++ b/crates/simulator/src/planted_faults.rs
@@ -10,7 +10,7 @@
 use crate::scenarios;
 
 /// The failpoint's name and the scenario that is expected to detect the fault.
-pub const PLANTED_FAULTS: [(&str, &str); 31] = [
+pub const PLANTED_FAULTS: [(&str, &str); 32] = [
     ("answer-twice", "calm"),
     ("other-value", "calm"),
     ("panic", "calm"),
@@ -42,6 +42,7 @@
     ("old-layout-alone", "copies-layout"),
     ("key-forgotten-early", "copies-keys"),
     ("alone-unseen", "copies-partition"),
+    ("unreplicated-forgotten", "copies-in-turn"),
 ];
 
 /// Runs seeds from 0 on, up to `seed_limit` of them, with the fault active. Returns how many it took to break a rule and
--- a/crates/simulator/src/scenarios.rs
+++ b/crates/simulator/src/scenarios.rs
@@ -13,7 +13,7 @@
     Members(member_fleet::Scenario),
 }
 
-const MEMBER_SCENARIOS: [(&str, &str); 8] = [
+const MEMBER_SCENARIOS: [(&str, &str); 9] = [
     (
         "members-churn",
         include_str!("../scenarios/members-churn.hcl"),
@@ -40,6 +40,10 @@
         include_str!("../scenarios/copies-burns.hcl"),
     ),
     ("copies-keys", include_str!("../scenarios/copies-keys.hcl")),
+    (
+        "copies-in-turn",
+        include_str!("../scenarios/copies-in-turn.hcl"),
+    ),
 ];
 
 fn parse_member_scenario(text: &str) -> Result<AnyScenario, String> {
