Diagnostics: request ids, late answers, event loop delay and reasons for every close

Change: diagnostics.rs in the engine logs, ten lines a second of each kind and the rest counted, attempts without an answer, requests shed or failed, answers written after their deadline and timers that fire over 50 ms late, each with the request's id where there is one; and client connections that the gateway closes, with the reason. SIGUSR1 prints a line 'trouble' with the counters. Nothing in it is read for a decision.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -89,6 +89,8 @@
         let answered = report.outcome == AttemptOutcome::Answered;
         open.usage.attempts_in_flight -= 1;
         open.attempts.finish(report.number);
+        self.diagnostics
+            .on_attempt_finished(&self.log, now, open, report.server, report.outcome);
         if answered {
             open.mark_finished();
         }
@@ -203,6 +205,8 @@
             return;
         };
         open.mark_finished();
+        self.diagnostics
+            .on_unanswered(&self.log, self.clock.now(), open, &answer);
         increment(match answer {
             FinalAnswer::Answered(_) => &self.metrics.answered,
             FinalAnswer::Shed(_) => &self.metrics.shed,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -24,6 +24,7 @@
 
 pub use crate::attempt::{Attempt, AttemptExecutor, ReportedParameters};
 use crate::clock::Clock;
+use crate::diagnostics::{ClosedClient, Diagnostics, LateAnswer};
 pub use crate::endpoints::EndpointEntry;
 use crate::endpoints::Endpoints;
 use crate::log_line_limiter::LogLineLimiter;
@@ -143,6 +144,8 @@
     pub session_consistency: Option<SessionConsistency>,
     pub(crate) log: slog::Logger,
     pub(crate) discarded_answer_limiter: LogLineLimiter,
+    /// Log lines and counters of requests and connections in trouble.
+    pub diagnostics: Diagnostics,
 }
 
 impl Engine {
@@ -170,6 +173,7 @@
             session_consistency,
             log,
             discarded_answer_limiter: LogLineLimiter::default(),
+            diagnostics: Diagnostics::default(),
         })
     }
 
@@ -389,10 +393,24 @@
         self.requests.borrow().unanswered()
     }
 
+    /// Records an answer that is written after its client's deadline.
+    pub fn on_late_answer(&self, answer: &LateAnswer<'_>) {
+        self.diagnostics
+            .on_late_answer(&self.log, self.clock.now(), answer);
+    }
+
+    /// Records why a client connection was closed.
+    pub fn on_client_closed(&self, closed: &ClosedClient) {
+        self.diagnostics
+            .on_client_closed(&self.log, self.clock.now(), closed);
+    }
+
     /// Passes expired timers to the router; never returns.
     pub async fn run_timers(self: Rc<Self>) {
         loop {
-            self.timers.wait(&self.clock).await;
+            let delay = self.timers.wait(&self.clock).await;
+            self.diagnostics
+                .on_timer(&self.log, self.clock.now(), ticks_to_duration(delay));
             while let Some(key) = self.timers.pop_expired(self.clock.now()) {
                 self.dispatch(EngineEvent::TimerExpired(key));
             }
--- a/crates/engine/src/intake.rs
+++ b/crates/engine/src/intake.rs
@@ -8,7 +8,7 @@
     Consistency, Idempotency, PositionKeeper, Request, RequestClass, Ticks,
 };
 use leverpoint_routing::interning::RequestUsage;
-use leverpoint_runtime::Instant;
+use leverpoint_runtime::{Instant, since};
 use tokio::sync::oneshot;
 
 use crate::client_connections::ClientConnection;
@@ -92,7 +92,7 @@
         let timeout = floor_ticks(header.timeout_ms).min(class.timeout);
         let deadline = self.clock.at(received) + timeout;
         let answer_deadline = self.clock.instant(deadline + self.settings.answer_slack);
-        self.admit(&resolved, client, answer_deadline)?;
+        self.admit(header, &resolved, client, answer_deadline)?;
         let has_token = matches!(header.required_position, Some(RequiredPosition::Token(_)));
         if has_token && self.session_consistency.is_none() {
             return Err(invalid_parameter(
@@ -110,6 +110,8 @@
             stage: preparing.stage.clone(),
             answer_receiver,
             answered: false,
+            id: header.id.into(),
+            queued: since(received),
             class: class_index,
             answer_deadline,
         };
@@ -161,6 +163,7 @@
     /// Sheds a request if there is no buffer capacity for its answer, and every request after the shutdown deadline.
     fn admit(
         &self,
+        header: &RequestHeader<'_>,
         resolved: &ResolvedNames,
         client: &Rc<ClientConnection>,
         answer_deadline: Instant,
@@ -176,6 +179,8 @@
         self.metrics.on_request(resolved.class);
         increment(&self.metrics.shed);
         let retry_after = self.allowed_retry_after(retry_after);
+        self.diagnostics
+            .on_shed_on_arrival(&self.log, self.clock.now(), header.id, retry_after);
         let retry_after_ms = retry_after as u64 / TICKS_PER_MS;
         Err(Rejection::Shed(retry_after_ms, answer_deadline))
     }
@@ -264,6 +269,8 @@
         let Some(sender) = open.answer_sender.take() else {
             return;
         };
+        self.diagnostics
+            .on_unanswered(&self.log, self.clock.now(), open, &answer);
         increment(match answer {
             FinalAnswer::Shed(_) => &self.metrics.shed,
             _ => &self.metrics.failed,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod client_connections;
 mod clock;
 pub mod descriptor_budget;
+pub mod diagnostics;
 mod discovery;
 mod endpoints;
 pub mod engine;
--- a/crates/engine/src/request.rs
+++ b/crates/engine/src/request.rs
@@ -6,6 +6,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use leverpoint_runtime::Instant;
 use tokio::sync::oneshot;
@@ -110,6 +111,10 @@
     pub(crate) stage: Rc<Cell<RequestStage>>,
     pub(crate) answer_receiver: oneshot::Receiver<FinalAnswer>,
     pub(crate) answered: bool,
+    /// The request's id.
+    pub id: Box<str>,
+    /// How long the request had waited behind others of its connection when it was accepted.
+    pub queued: Duration,
     /// Index of the request class.
     pub class: usize,
     /// When the answer stops being of use: the request's deadline plus the settings' answer slack. The router answers
--- a/crates/engine/src/request_table.rs
+++ b/crates/engine/src/request_table.rs
@@ -33,6 +33,11 @@
         (number, cancelled)
     }
 
+    /// Returns the number of attempts started.
+    pub(crate) fn started(&self) -> u32 {
+        self.started
+    }
+
     pub(crate) fn finish(&mut self, number: u32) {
         self.outstanding.retain(|(other, _)| *other != number);
     }
--- a/crates/engine/src/timers.rs
+++ b/crates/engine/src/timers.rs
@@ -32,8 +32,10 @@
         self.queue.borrow().peek().map(|Reverse((at, _))| *at)
     }
 
-    /// Waits until the earliest timer has expired or a timer is added. May return early.
-    pub(crate) async fn wait(&self, clock: &Clock) {
+    /// Waits until the earliest timer has expired or a timer is added, and returns by how much the wait was too long. May
+    /// return early.
+    pub(crate) async fn wait(&self, clock: &Clock) -> Ticks {
+        let started = clock.now();
         let at = loop {
             match self.next_deadline() {
                 Some(at) => break at,
@@ -42,8 +44,8 @@
         };
         tokio::select! {
             biased;
-            _ = sleep_until(clock.instant(at)) => {}
-            _ = self.changed.notified() => {}
+            _ = sleep_until(clock.instant(at)) => (clock.now() - at.max(started)).max(0),
+            _ = self.changed.notified() => 0,
         }
     }
 
--- a/crates/gateway/src/client/mod.rs
+++ b/crates/gateway/src/client/mod.rs
@@ -19,6 +19,7 @@
     BufferKind as ReservationKind, BufferReservation, ClientConnection, ClientConnections,
 };
 use leverpoint_engine::descriptor_budget::{ClientActivity, ConnectionEviction, DescriptorPermit};
+use leverpoint_engine::diagnostics::{CloseReason, ClosedClient};
 use leverpoint_engine::engine::Engine;
 use leverpoint_engine::metrics::increment;
 use leverpoint_runtime::{Instant, Stream, now, since, sleep, sleep_until, timeout};
@@ -75,12 +76,26 @@
     /// The connection as backpressure sees it.
     registration: Rc<ClientConnection>,
     admission: Admission,
+    /// Messages received after the startup.
+    messages: u64,
+    /// Why the connection ends, as far as the gateway has decided it.
+    close_reason: CloseReason,
     _descriptor: DescriptorPermit,
 }
 
 impl Drop for Client {
     fn drop(&mut self) {
         increment(&self.engine.metrics.clients.closed);
+        let reason = if self.registration.is_evicted() {
+            CloseReason::Slow
+        } else {
+            self.close_reason
+        };
+        self.engine.on_client_closed(&ClosedClient {
+            reason,
+            messages: self.messages,
+            open_for: since(self.accepted_at),
+        });
     }
 }
 
@@ -148,6 +163,8 @@
         longest_timeout,
         registration,
         admission,
+        messages: 0,
+        close_reason: CloseReason::Client,
         context,
         _descriptor: descriptor,
     };
@@ -200,11 +217,13 @@
                     return Ok(Some((tag, body)));
                 }
                 DecodeResult::TooLong => {
+                    self.close_reason = CloseReason::Invalid;
                     self.close_with_error("54000", "the message is longer than is taken")
                         .await?;
                     return Ok(None);
                 }
                 DecodeResult::InvalidLength => {
+                    self.close_reason = CloseReason::Invalid;
                     self.close_with_error("08P01", "a message of impossible length")
                         .await?;
                     return Ok(None);
@@ -238,6 +257,7 @@
 
     /// Records that the client has sent a complete message.
     fn on_message_complete(&mut self, progress: &mut MessageInProgress) {
+        self.messages += 1;
         self.registration.on_message();
         progress.activity = if self.registration.is_proven() {
             ClientActivity::Proven
@@ -264,11 +284,13 @@
                     return Ok(NextStep::Continue);
                 }
                 None => {
+                    self.close_reason = CloseReason::Incomplete;
                     self.close_with_error("08P01", "no whole message in time")
                         .await?;
                 }
             },
             ReadOutcome::NoCapacity => {
+                self.close_reason = CloseReason::Slow;
                 self.close_with_error("53300", "no room for the message")
                     .await?;
             }
@@ -279,9 +301,17 @@
             // Bytes were received just in time: their message is still read and answered, and the wait for its end does
             // not count as idle time of the client.
             ReadOutcome::Close if self.read_available()? => return Ok(NextStep::Continue),
-            ReadOutcome::Close => self.close_without_reading().await?,
+            ReadOutcome::Close => {
+                self.close_reason = if self.context.eviction.is_evicting_all() {
+                    CloseReason::Shutdown
+                } else {
+                    CloseReason::Capacity
+                };
+                self.close_without_reading().await?;
+            }
             // If a request was received or may be under way, it is rejected rather than cut off.
             ReadOutcome::FreeDescriptor => {
+                self.close_reason = CloseReason::Capacity;
                 if !self.read_available()? && since(self.accepted_at) >= ROUND_TRIP {
                     return Ok(NextStep::Close);
                 }
@@ -395,6 +425,7 @@
                 let received = self.connection.received_at();
                 self.handle_query(body, received, reservation).await?;
                 if self.admission.rejected {
+                    self.close_reason = CloseReason::Capacity;
                     self.close_without_reading().await?;
                     return Ok(NextStep::Close);
                 }
@@ -406,6 +437,7 @@
             }
             b'd' | b'c' | b'f' => {}
             _ => {
+                self.close_reason = CloseReason::Invalid;
                 self.close_with_error("08P01", "a message of unknown type")
                     .await?;
                 return Ok(NextStep::Close);
--- a/crates/gateway/src/client/query.rs
+++ b/crates/gateway/src/client/query.rs
@@ -5,9 +5,10 @@
 use std::pin::pin;
 
 use leverpoint_engine::client_connections::BufferReservation;
+use leverpoint_engine::diagnostics::LateAnswer;
 use leverpoint_engine::engine::{FinalAnswer, PendingRequest, Rejection};
 use leverpoint_engine::metrics::increment;
-use leverpoint_runtime::{Instant, failpoint_active, sleep_until, timeout};
+use leverpoint_runtime::{Instant, failpoint_active, since, sleep_until, timeout};
 
 use crate::client::Client;
 use crate::client::response::Delivery;
@@ -108,9 +109,23 @@
     /// Waits for the outcome of a request and answers it.
     async fn answer_request(&mut self, accepted: PendingRequest) -> io::Result<()> {
         let (class, mut delivery) = (accepted.class, Delivery::new(accepted.answer_deadline));
+        let (id, queued, deadline) = (
+            accepted.id.clone(),
+            accepted.queued,
+            accepted.answer_deadline,
+        );
         let cancel_key = self.cancel_key.take();
         let outcome = self.wait_for_outcome(accepted, cancel_key.as_ref()).await?;
         self.cancel_key = cancel_key;
+        let late = since(deadline);
+        if !late.is_zero() {
+            self.engine.on_late_answer(&LateAnswer {
+                id: &id,
+                class,
+                queued,
+                late,
+            });
+        }
         let mut out = Vec::new();
         match outcome {
             Some(FinalAnswer::Answered(row)) => {
--- a/crates/gateway/src/client/startup.rs
+++ b/crates/gateway/src/client/startup.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use leverpoint_engine::descriptor_budget::ClientActivity;
+use leverpoint_engine::diagnostics::CloseReason;
 use leverpoint_runtime::timeout_at;
 
 use crate::client::{Client, MESSAGE_TIMEOUT, NextStep};
@@ -17,11 +18,15 @@
         let admitted = tokio::select! {
             biased;
             admitted = timeout_at(accepted_at + MESSAGE_TIMEOUT, self.admit()) => admitted,
-            () = eviction.requested(ClientActivity::Connected, accepted_at) => return Ok(NextStep::Close),
+            () = eviction.requested(ClientActivity::Connected, accepted_at) => {
+                self.close_reason = CloseReason::Capacity;
+                return Ok(NextStep::Close);
+            }
         };
         match admitted {
             Ok(admitted) => admitted,
             Err(_) => {
+                self.close_reason = CloseReason::Incomplete;
                 self.close_with_error("08P01", "no startup packet in time")
                     .await?;
                 Ok(NextStep::Close)
@@ -39,6 +44,7 @@
                     continue;
                 }
                 Err(messages::InvalidPacketLength) => {
+                    self.close_reason = CloseReason::Invalid;
                     self.close_with_error("08P01", "a startup packet of impossible length")
                         .await?;
                     return Ok(NextStep::Close);
@@ -62,6 +68,7 @@
                     return Ok(NextStep::Continue);
                 }
                 _ => {
+                    self.close_reason = CloseReason::Invalid;
                     self.close_with_error("0A000", "only version 3 of the protocol is spoken")
                         .await?;
                     return Ok(NextStep::Close);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -258,6 +258,7 @@
     /// Logs all metrics, the sizes of the tables and the age of the endpoint list, a line for each part.
     pub fn log_metrics(&self) {
         slog::info!(self.log, "counters"; "all" => self.metrics.summary());
+        slog::info!(self.log, "trouble"; "all" => self.engine.diagnostics.summary());
         slog::info!(self.log, "tables"; "hold" => format!("{:?}", self.engine.table_sizes()),
             "cancel_keys" => self.context.cancel_keys.len());
         let (age, remaining) = self.engine.endpoint_list_age();
