Floods: nine failing tests of clients that send small messages at full speed

Six clients, one connection each, send one kind of message without pause; twelve others send a read each 10 ms or so with a timeout of 434 ms, through the real program on loopback to servers that answer at once. Every request needs its answer at the latest half a second past its timeout, the platform's bound for a lost request.

--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod discovery;
 pub mod file_lease;
 pub mod fleet;
+pub mod flood;
 pub mod gateway;
 pub mod manual;
 pub mod pace;
