Runtime: a yield lets tokio poll its sockets and timers

Cause: yield_now woke its own task and returned. Tokio's LocalSet goes on with tasks that are ready, up to 61 polls, before the runtime looks at its sockets. Where each turn of a busy connection takes milliseconds, everybody else waited for 61 of them.

The simulated runtime is unchanged.

--- a/crates/runtime/src/time.rs
+++ b/crates/runtime/src/time.rs
@@ -130,8 +130,14 @@
     timeout_at(now() + duration, future)
 }
 
-/// Yields to the other tasks that are ready.
+/// Yields to the other tasks that are ready, after the runtime has polled its sockets and timers.
+///
+/// A task that only wakes itself is polled again before the runtime looks at any socket, as long as it has polled fewer
+/// than 61 tasks since it last did.
 pub async fn yield_now() {
+    if simulated_runtime().is_none() {
+        return tokio::task::yield_now().await;
+    }
     let mut yielded = false;
     poll_fn(|cx| {
         if std::mem::replace(&mut yielded, true) {
