Client: the yield of an answer's write reaches the runtime

Cause: a connection yields each 64 KiB, in read and in write. An answer's write is first polled once, to save a timer (poll_once in deliver). A yield in there ended that one poll, which counted as a write that waits; the next line polled again, and the task went on with its turn. As small messages mostly reach the 64 KiB within a write, a connection with more to read kept the only thread: 6 s of system calls were all on one descriptor, without one epoll_wait.

Why it works: the task yields ahead of the first poll, where the runtime sees it. Inside the poll a yield can now come only behind 64 KiB of one answer.

Empty queries, Syncs, SET statements and requests for TLS still lose requests: a turn is bounded in bytes, and 64 KiB of them are thousands of messages.

Class: a future that yields for fairness is polled by something that does not pass Pending on. The other callers of poll_once (acceptor, readable) poll futures that never yield.

--- a/crates/gateway/src/client/response.rs
+++ b/crates/gateway/src/client/response.rs
@@ -62,6 +62,8 @@
     async fn deliver(&mut self, bytes: &[u8], delivery: Delivery) -> io::Result<()> {
         let registration = &self.registration;
         registration.on_answer_started(delivery.class, bytes.len(), delivery.deadline);
+        // Inside the first poll below a yield would end that poll, not the task's turn.
+        self.connection.yield_if_due().await;
         let parts = [bytes];
         let mut writing = pin!(self.connection.write(&parts, &registration.bytes_written));
         // Most answers are written at once and need no timeout.
--- a/crates/gateway/src/io/connection.rs
+++ b/crates/gateway/src/io/connection.rs
@@ -232,7 +232,7 @@
     }
 
     /// Yields to other tasks once [`YIELD_THRESHOLD`] bytes have been read or written.
-    async fn yield_if_due(&mut self) {
+    pub(crate) async fn yield_if_due(&mut self) {
         if self.bytes_since_yield >= YIELD_THRESHOLD {
             self.bytes_since_yield = 0;
             yield_now().await;
