Backpressure: messages without a request wait for turns, and a turn is bounded in work

Cause: a turn was bounded in bytes alone. 64 KiB of empty queries are over 3,800 messages, each with a parse, a write and a query of the kernel's send queue; requests for TLS over 7,000. With six such clients a request, which needs several turns of its own, waited for as many rounds of them.

Change: message_pacing.rs in backpressure decides, without I/O and clock, what a connection does behind a message: a turn ends after 16 units of work, a request being four; messages that lead to no request take from an allowance (16, 100 a second, four for each request), and beyond it each batch of 16 waits for a turn, a thousand a second for all connections together, fewer while timers are late. The token bucket of accepted connections is now a type of its own that both use. Requests never wait; while the gateway shuts down nothing does.

Why it works: the work of all flooding connections together is bounded in each millisecond, however many there are, and no turn is longer than 16 messages.

--- a/crates/backpressure/src/connections.rs
+++ b/crates/backpressure/src/connections.rs
@@ -11,6 +11,7 @@
 use crate::buffer_pool::{BufferPool, BufferShare};
 use crate::eviction_order::{EvictionOrder, EvictionRank};
 use crate::limits::Limits;
+use crate::message_pacing::{MessageAllowance, MessageEffect, MessagePacer, Pace};
 use crate::response_size::ResponseSizes;
 use crate::state::{self, Action, ConnectionState, TransferAssessment};
 use crate::throughput::ThroughputMeter;
@@ -68,6 +69,8 @@
     own_estimate: Option<usize>,
     /// Time until which a complete, final answer is due to the client.
     answer_due_until: Ticks,
+    /// Allowance for messages that lead to no request.
+    messages: MessageAllowance,
     /// Index of the connection in `unread_connections`.
     unread_index: Option<usize>,
 }
@@ -80,6 +83,7 @@
     pools: [BufferPool; 2],
     eviction_order: EvictionOrder,
     response_sizes: ResponseSizes,
+    message_pacer: MessagePacer,
     /// Indexes of the connections with unread responses, in no order.
     unread_connections: Vec<usize>,
     /// Number of connections by state.
@@ -108,6 +112,7 @@
             pools: [pool.clone(), pool],
             eviction_order: EvictionOrder::default(),
             response_sizes: ResponseSizes::new(classes, unreserved),
+            message_pacer: MessagePacer::default(),
             unread_connections: Vec::new(),
             counts_by_state: [0; 4],
             random: fastrand::Rng::with_seed(seed),
@@ -196,6 +201,32 @@
         Admission::Admit
     }
 
+    /// Records a handled message, and returns what the connection does before its next one.
+    ///
+    /// `timer_delay` is how much longer than asked its last wait took, in ticks.
+    pub fn on_message_handled(
+        &mut self,
+        now: Ticks,
+        id: usize,
+        effect: MessageEffect,
+        timer_delay: Ticks,
+    ) -> Pace {
+        let allowance = &mut self.connections[id].messages;
+        let pace = self
+            .message_pacer
+            .on_message(now, allowance, effect, timer_delay);
+        match pace {
+            // Without limits a turn still ends, so that other tasks run.
+            Pace::Wait(_) if !self.limits.enabled => Pace::Yield,
+            pace => pace,
+        }
+    }
+
+    /// Number of turns that connections beyond their allowance of messages have taken.
+    pub fn message_turns(&self) -> u64 {
+        self.message_pacer.turns()
+    }
+
     /// Tries to hold `bytes` more for a connection; returns whether they are held.
     pub fn claim(&mut self, kind: BufferKind, id: usize, bytes: usize) -> bool {
         let (connection, pool) = (&mut self.connections[id], &mut self.pools[kind as usize]);
--- a/crates/backpressure/src/lib.rs
+++ b/crates/backpressure/src/lib.rs
@@ -14,6 +14,8 @@
 //! - [`response_size`]: expected size of the next response
 //! - [`slow_response`]: whether a server's response can still be complete in time
 //! - [`arrival_rate`]: rate limit on accepting connections
+//! - [`message_pacing`]: turns of connections that send messages without a request
+//! - [`rate_limiter`]: token bucket that both are based on
 //! - [`connections`]: all client connections, on top of the other modules
 
 #![warn(missing_docs)]
@@ -23,6 +25,8 @@
 pub mod connections;
 pub mod eviction_order;
 pub mod limits;
+pub mod message_pacing;
+pub mod rate_limiter;
 pub mod response_size;
 pub mod slow_response;
 pub mod state;
@@ -32,5 +36,6 @@
 pub use connections::{Admission, BufferKind, Connections, EvictionCandidate};
 pub use leverpoint_routing::api::Ticks;
 pub use limits::Limits;
+pub use message_pacing::{MessageEffect, Pace};
 pub use slow_response::SlowResponseDetector;
 pub use state::{Action, ConnectionState};
--- a/crates/engine/src/client_connections.rs
+++ b/crates/engine/src/client_connections.rs
@@ -10,7 +10,7 @@
 pub use leverpoint_backpressure::BufferKind;
 use leverpoint_backpressure::{
     Action, Admission, ArrivalRateLimiter, ConnectionState, Connections as Backpressure,
-    EvictionCandidate, Limits,
+    EvictionCandidate, Limits, MessageEffect, Pace,
 };
 use leverpoint_config::settings::{duration_to_ticks, ticks_to_duration};
 use leverpoint_routing::api::Ticks;
@@ -52,6 +52,17 @@
     UnprovenInstead,
 }
 
+/// What a connection does before it handles its next message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MessagePause {
+    /// It goes on.
+    None,
+    /// It lets other tasks run first.
+    Yield,
+    /// It waits for this time.
+    Wait(Duration),
+}
+
 /// A client connection, registered with backpressure until dropped.
 pub struct ClientConnection {
     connections: Rc<ClientConnections>,
@@ -213,11 +224,12 @@
         format!(
             "peers.new={unproven} peers.usual={proven} peers.slow={slow} peers.stalled={stalled} peers.untaken={} \
              peers.let_go={evicted} peers.sent_back={shed} held.statements={} held.answers={} \
-             held.promised={} held.peak={peak}",
+             held.promised={} held.peak={peak} messages.turns={}",
             backpressure.unread_connections().len(),
             pools[0].held(),
             pools[1].held(),
             pools[1].reserved(),
+            backpressure.message_turns(),
         )
     }
 
@@ -327,6 +339,26 @@
         self.on_unacknowledged(self.unacknowledged_bytes());
     }
 
+    /// Records a handled message, and returns what the connection does before its next one. `late` is how much longer
+    /// than asked its last wait took.
+    pub fn on_message_handled(&self, effect: MessageEffect, late: Duration) -> MessagePause {
+        let pace = self
+            .connections
+            .backpressure
+            .borrow_mut()
+            .on_message_handled(
+                self.connections.now(),
+                self.id,
+                effect,
+                duration_to_ticks(late),
+            );
+        match pace {
+            Pace::Continue => MessagePause::None,
+            Pace::Yield => MessagePause::Yield,
+            Pace::Wait(wait) => MessagePause::Wait(ticks_to_duration(wait)),
+        }
+    }
+
     /// Reports to backpressure how many bytes are unacknowledged; releases buffers or evicts the connection
     /// accordingly.
     fn on_unacknowledged(&self, unacknowledged: usize) {
--- a/crates/gateway/src/client/mod.rs
+++ b/crates/gateway/src/client/mod.rs
@@ -5,6 +5,7 @@
 //! The requests of a connection are handled in their order, and each gets exactly one answer while the client is
 //! connected. A connection that has input, read or unread, is not closed without an answer.
 
+mod pacing;
 mod pipelining;
 mod query;
 mod response;
@@ -15,6 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use leverpoint_backpressure::MessageEffect;
 use leverpoint_engine::client_connections::{
     BufferKind as ReservationKind, BufferReservation, ClientConnection, ClientConnections,
 };
@@ -24,6 +26,7 @@
 use leverpoint_engine::metrics::increment;
 use leverpoint_runtime::{Instant, Stream, now, since, sleep, sleep_until, timeout};
 
+use crate::client::pacing::MessagePacing;
 use crate::client::pipelining::ReadAhead;
 use crate::io::connection::BufferedConnection;
 use crate::postgres::cancel_keys::{CancelKey, CancelKeys};
@@ -76,6 +79,7 @@
     /// The connection as backpressure sees it.
     registration: Rc<ClientConnection>,
     admission: Admission,
+    pacing: MessagePacing,
     /// Messages received after the startup.
     messages: u64,
     /// Why the connection ends, as far as the gateway has decided it.
@@ -163,6 +167,7 @@
         longest_timeout,
         registration,
         admission,
+        pacing: MessagePacing::default(),
         messages: 0,
         close_reason: CloseReason::Client,
         context,
@@ -191,12 +196,13 @@
         let mut skip_until_sync = false;
         while let Some((tag, body)) = self.next_message(&mut progress).await? {
             let reservation = progress.reservation.take();
-            let next_step = self
+            let handled = self
                 .handle_message(tag, body, reservation, &mut skip_until_sync)
                 .await?;
-            if next_step == NextStep::Close {
+            let Some(effect) = handled else {
                 break;
-            }
+            };
+            self.pause_after_message(effect).await;
         }
         Ok(())
     }
@@ -404,7 +410,15 @@
         }
     }
 
-    /// Handles a message.
+    /// Ends the connection's turn where it is due.
+    async fn pause_after_message(&mut self, effect: MessageEffect) {
+        let is_shutting_down = self.context.eviction.is_evicting_all();
+        self.pacing
+            .after_message(&self.registration, effect, is_shutting_down)
+            .await;
+    }
+
+    /// Handles a message, and returns what it led to; none if the connection is to be dropped, closed where necessary.
     ///
     /// `skip_until_sync` is set after an error of the extended protocol, whose messages are then ignored until a Sync.
     async fn handle_message(
@@ -413,9 +427,9 @@
         body: Vec<u8>,
         reservation: Option<BufferReservation>,
         skip_until_sync: &mut bool,
-    ) -> io::Result<NextStep> {
+    ) -> io::Result<Option<MessageEffect>> {
         match tag {
-            b'X' => return Ok(NextStep::Close),
+            b'X' => return Ok(None),
             b'S' => {
                 *skip_until_sync = false;
                 self.write_with_ready(Vec::new(), None).await?;
@@ -423,12 +437,13 @@
             _ if *skip_until_sync => {}
             b'Q' => {
                 let received = self.connection.received_at();
-                self.handle_query(body, received, reservation).await?;
+                let effect = self.handle_query(body, received, reservation).await?;
                 if self.admission.rejected {
                     self.close_reason = CloseReason::Capacity;
                     self.close_without_reading().await?;
-                    return Ok(NextStep::Close);
+                    return Ok(None);
                 }
+                return Ok(Some(effect));
             }
             b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' => {
                 *skip_until_sync = tag != b'F';
@@ -440,9 +455,9 @@
                 self.close_reason = CloseReason::Invalid;
                 self.close_with_error("08P01", "a message of unknown type")
                     .await?;
-                return Ok(NextStep::Close);
+                return Ok(None);
             }
         }
-        Ok(NextStep::Continue)
+        Ok(Some(MessageEffect::NoRequest))
     }
 }
--- a/crates/gateway/src/client/query.rs
+++ b/crates/gateway/src/client/query.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::pin::pin;
 
+use leverpoint_backpressure::MessageEffect;
 use leverpoint_engine::client_connections::BufferReservation;
 use leverpoint_engine::diagnostics::LateAnswer;
 use leverpoint_engine::engine::{FinalAnswer, PendingRequest, Rejection};
@@ -25,33 +26,37 @@
 impl Client {
     /// Handles a Query message whose last byte was received at `received`.
     ///
-    /// The buffer reservation for `body` is held until the query is answered.
+    /// The buffer reservation for `body` is held until the query is answered. Returns what the query led to.
     pub(super) async fn handle_query(
         &mut self,
         mut body: Vec<u8>,
         received: Instant,
         _reservation: Option<BufferReservation>,
-    ) -> io::Result<()> {
+    ) -> io::Result<MessageEffect> {
         if body.pop() != Some(0) || body.contains(&0) {
-            return self
-                .reject("08P01", "a query must end with its only zero byte", true)
-                .await;
+            let reason = "a query must end with its only zero byte";
+            return self.reject_query("08P01", reason).await;
         }
         let Ok(text) = std::str::from_utf8(&body) else {
-            return self.reject("22021", "a query must be UTF-8", true).await;
+            return self.reject_query("22021", "a query must be UTF-8").await;
         };
         let request = match query_comment::parse_query(text) {
-            Ok(Query::Empty) => return self.answer_readiness_check().await,
+            Ok(Query::Empty) => {
+                self.answer_readiness_check().await?;
+                return Ok(MessageEffect::NoRequest);
+            }
             Ok(Query::Session(tag)) => {
                 let mut out = Vec::new();
                 messages::put_message(&mut out, b'C', &[tag.as_bytes(), b"\0"]);
-                return self.write_with_ready(out, None).await;
+                self.write_with_ready(out, None).await?;
+                return Ok(MessageEffect::NoRequest);
             }
             Ok(Query::Request(request)) => request,
-            Err((code, reason)) => return self.reject(code, &reason, true).await,
+            Err((code, reason)) => return self.reject_query(code, &reason).await,
         };
         if !self.admission.has_capacity {
-            return self.reject_without_capacity().await;
+            self.reject_without_capacity().await?;
+            return Ok(MessageEffect::Request);
         }
         assert!(
             !(failpoint_active("panic") && text.contains("c=history")),
@@ -62,17 +67,24 @@
             .on_request(&request, text, received, &self.registration)
         {
             Ok(accepted) => accepted,
-            Err(Rejection::Invalid(code, reason)) => return self.reject(code, &reason, true).await,
+            Err(Rejection::Invalid(code, reason)) => return self.reject_query(code, &reason).await,
             Err(Rejection::Shed(retry_after_ms, deadline)) => {
                 let mut out = Vec::new();
                 put_shed_error(&mut out, retry_after_ms);
-                return self
-                    .write_with_ready(out, Some(Delivery::new(deadline)))
-                    .await;
+                self.write_with_ready(out, Some(Delivery::new(deadline)))
+                    .await?;
+                return Ok(MessageEffect::Request);
             }
         };
         drop(body);
-        self.answer_request(accepted).await
+        self.answer_request(accepted).await?;
+        Ok(MessageEffect::Request)
+    }
+
+    /// Answers a query that leads to no request with an error.
+    async fn reject_query(&mut self, code: &str, reason: &str) -> io::Result<MessageEffect> {
+        self.reject(code, reason, true).await?;
+        Ok(MessageEffect::NoRequest)
     }
 
     /// Answers an empty query once an endpoint list has been received.
--- a/crates/gateway/tests/floods.rs
+++ b/crates/gateway/tests/floods.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -9,7 +10,7 @@
 use leverpoint_test_support::flood::{Flood, FloodKind};
 use leverpoint_test_support::gateway::{self as gateway_process, Gateway};
 use leverpoint_test_support::server::{always_row, start_server};
-use leverpoint_test_support::wire::query_message;
+use leverpoint_test_support::wire::{query_message, select};
 
 /// The client timeout of the well-behaved clients.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(434);
@@ -21,6 +22,9 @@
 const REQUESTS_PER_CLIENT: usize = 100;
 const FLOODING_CLIENTS: usize = 6;
 
+/// Held by the test whose flood runs.
+static FLOOD: Mutex<()> = Mutex::new(());
+
 /// Settings of two classes with usual client timeouts.
 const SETTINGS: &str = r#"{"balancers": 1, "me": 0, "tickMs": 5.0, "zone": 0, "zones": ["a"], "discovery": "pushed",
     "contract": {"answerSlackMs": 20.0, "coldMs": 9000.0, "fallMs": 1500.0, "fallMultiple": 2.5, "startCapacity": 0.2,
@@ -106,8 +110,18 @@
         .fold(Observed::default(), Observed::merge)
 }
 
+/// Connects a well-behaved client whose first request was answered, so that connections to the servers are open.
+fn connect_client(gateway: &Gateway, number: usize) -> Client {
+    let mut client = gateway.connect_client();
+    let answer = client.run_statement(&select("view"));
+    assert!(answer.starts_with("T D "), "client {number}: {answer}");
+    client
+}
+
 /// Floods a gateway; every well-behaved client must get its answers.
 fn check_beside_flood(kind: FloodKind) {
+    // One flood at a time: the threads of several would keep each other's servers from the processor.
+    let _one_at_a_time = FLOOD.lock().unwrap_or_else(PoisonError::into_inner);
     let primary = start_server("read-write", always_row("one"));
     let replica = start_server("read-only", always_row("one"));
     let gateway = gateway_process::start_with_servers(
@@ -117,7 +131,9 @@
         (192, 1024),
         &[],
     );
-    let clients = (0..CLIENTS).map(|_| gateway.connect_client()).collect();
+    let clients = (0..CLIENTS)
+        .map(|number| connect_client(&gateway, number))
+        .collect();
     let flood = Flood::start(address(&gateway), kind, FLOODING_CLIENTS);
     let observed = run_clients(clients);
     let transferred = flood.transferred();
--- a/crates/test-support/src/flood.rs
+++ b/crates/test-support/src/flood.rs
@@ -10,12 +10,16 @@
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 
+use socket2::SockRef;
+
 use crate::wire::{STARTUP_MESSAGE, query_message};
 
 /// SSLRequest, a startup packet that asks for TLS.
 const SSL_REQUEST: &[u8] = b"\0\0\0\x08\x04\xd2\x16\x2f";
 /// Length in bytes of the messages that are written at once.
-const CHUNK_BYTES: usize = 64 << 10;
+const CHUNK_BYTES: usize = 16 << 10;
+/// Size of the kernel's send buffer in bytes.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
 
 /// What a flooding client sends.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -158,6 +162,8 @@
         next: &mut u64,
     ) -> io::Result<()> {
         let mut writer = TcpStream::connect(to)?;
+        // Otherwise the kernel takes megabytes at once, and building them keeps the test's own threads busy.
+        SockRef::from(&writer).set_send_buffer_size(SEND_BUFFER_BYTES)?;
         self.connections.lock().unwrap()[client] = Some(writer.try_clone()?);
         let (shared, mut reader) = (self.clone(), writer.try_clone()?);
         let reading = thread::spawn(move || {
