Backpressure: a connection with a late answer is kept until that answer counts as lost

Failed before: a_connection_is_not_evicted_before_its_late_answer_is_lost.

Cause: where connections run short, the first to go are those with bytes unread past their deadline. An answer that is written after its deadline is unread in the moment of its write, so each late answer put its connection at the head of that list, however fast its client reads. A gateway that was held up has only such connections.

Why it works: the list takes a connection half a second past its deadline, the time from which the platform counts an answer as lost. Clients that read too slowly are still evicted by their rate at their deadline, as before.

--- a/crates/backpressure/src/connections.rs
+++ b/crates/backpressure/src/connections.rs
@@ -49,6 +49,9 @@
 /// this fraction of the proof.
 const RESPONSES_TO_PROVE: usize = 16;
 
+/// Time after its deadline within which an answer still counts as given, in ticks; later it counts as lost.
+const LATE_ANSWER_GRACE: Ticks = 5_000;
+
 #[derive(Clone, Debug, Default)]
 struct Connection {
     state: ConnectionState,
@@ -75,6 +78,14 @@
     unread_index: Option<usize>,
 }
 
+impl Connection {
+    /// Whether an answer that the client has not read by now counts as lost, so that the connection may be evicted for
+    /// another one.
+    fn is_answer_lost(&self, now: Ticks) -> bool {
+        now >= self.answer_due_until + LATE_ANSWER_GRACE
+    }
+}
+
 /// Client connections of a gateway, by index.
 pub struct Connections {
     limits: Limits,
@@ -420,7 +431,7 @@
     /// Updates the rank of a connection in the eviction order.
     fn update_rank(&mut self, now: Ticks, id: usize) {
         let connection = &self.connections[id];
-        if connection.outgoing.pending() > 0 && now >= connection.answer_due_until {
+        if connection.outgoing.pending() > 0 && connection.is_answer_lost(now) {
             let rank = match connection.state {
                 ConnectionState::Stalled => EvictionRank::StalledPastDeadline,
                 ConnectionState::Slow => EvictionRank::SlowPastDeadline,
