Slow writers: a client that stops behind a wait for a buffer gets its error within 3 s

Cause: a wait for a buffer does not count for a client's rate, and each step of a long message, of up to five, could wait 2 s. A client granted its buffer late had its whole grace anew.

Change: the waits of one message are bounded together, 1.5 s, and behind a wait the client is asked after the stall timeout whether it still sends; one that does keeps its grace.

Why it works: 1.5 s of waits and 1 s of silence end before 3 s.

--- a/crates/backpressure/src/connections.rs
+++ b/crates/backpressure/src/connections.rs
@@ -62,6 +62,8 @@
     outgoing: ThroughputMeter,
     /// Throughput of incoming requests.
     incoming: ThroughputMeter,
+    /// Time in which the gateway did not read the message that is being received, for lack of buffer.
+    incoming_wait: Ticks,
     /// Buffer bytes by [`BufferKind`].
     shares: [BufferShare; 2],
     /// Bytes drained at a good rate since the connection was last proven or fell below a good rate.
@@ -79,6 +81,23 @@
 }
 
 impl Connection {
+    /// Time of the next check of an incomplete message within its grace; `None` if the gateway has waited for a buffer,
+    /// the grace has passed with that wait, and the client has sent nothing for the stall timeout.
+    fn stopped_after_wait_at(
+        &self,
+        limits: &Limits,
+        now: Ticks,
+        grace_ends: Ticks,
+    ) -> Option<Ticks> {
+        if self.incoming_wait == 0 || self.incoming.pending() == 0 {
+            return Some(grace_ends);
+        }
+        let stopped_at = now - self.incoming.idle_for(now) + limits.stall_timeout;
+        let with_wait = grace_ends - self.incoming_wait;
+        let check_at = stopped_at.max(with_wait).min(grace_ends);
+        (now < check_at).then_some(check_at)
+    }
+
     /// Whether an answer that the client has not read by now counts as lost, so that the connection may be evicted for
     /// another one.
     fn is_answer_lost(&self, now: Ticks) -> bool {
@@ -365,12 +384,16 @@
 
     /// Excludes a span in which the gateway did not read from the connection, for lack of buffer.
     pub fn exclude_wait(&mut self, id: usize, span: Ticks) {
-        self.connections[id].incoming.exclude_wait(span);
+        let connection = &mut self.connections[id];
+        connection.incoming.exclude_wait(span);
+        connection.incoming_wait += span;
     }
 
     /// Records that the message that is being received is complete.
     pub fn on_message_complete(&mut self, id: usize) {
-        self.connections[id].incoming.clear();
+        let connection = &mut self.connections[id];
+        connection.incoming.clear();
+        connection.incoming_wait = 0;
         if self.eviction_order.rank(id) == Some(EvictionRank::IncompleteMessage) {
             self.eviction_order.remove(id);
         }
@@ -378,12 +401,15 @@
 
     /// Time of the next check of an incomplete message; `None` if the connection is to be evicted.
     ///
-    /// A message is not checked before its grace has passed.
+    /// A message is not checked before its grace has passed, in which waits for a buffer do not count. A client that has
+    /// stopped gets its error in time all the same: after such a wait it is only asked whether it still sends.
     pub fn incomplete_message_deadline(&mut self, now: Ticks, id: usize) -> Option<Ticks> {
         let connection = &self.connections[id];
         let grace_ends = now - connection.incoming.age(now) + self.limits.grace;
         if connection.incoming.pending() == 0 || now < grace_ends {
-            return Some(grace_ends.max(now + 1));
+            return connection
+                .stopped_after_wait_at(&self.limits, now, grace_ends)
+                .map(|at| at.max(now + 1));
         }
         let assessment = state::assess(&connection.incoming, now, &self.limits, 0, false);
         if !self.limits.enabled || self.apply_assessment(id, assessment, false) == Action::Evict {
--- a/crates/backpressure/tests/backpressure.rs
+++ b/crates/backpressure/tests/backpressure.rs
@@ -539,3 +539,31 @@
         EvictionCandidate::Connection(id)
     );
 }
+
+#[test]
+fn a_client_that_stopped_after_a_wait_for_a_buffer_is_evicted_in_time() {
+    let (stopped, sending) = (0, 1);
+    let mut connections = new_connections();
+    for id in [stopped, sending] {
+        assert_eq!(connections.open(), id);
+        connections.on_bytes_received(0, id, 200);
+        connections.exclude_wait(id, 15_000);
+        connections.on_bytes_received(15_000, id, 4_000);
+    }
+    // Its grace of two seconds counts from the end of the wait, but it is asked before whether it still sends.
+    for id in [stopped, sending] {
+        assert_eq!(
+            connections.incomplete_message_deadline(20_000, id),
+            Some(25_000)
+        );
+    }
+    connections.on_bytes_received(24_000, sending, 100);
+    assert_eq!(
+        connections.incomplete_message_deadline(25_000, stopped),
+        None
+    );
+    assert_eq!(
+        connections.incomplete_message_deadline(25_000, sending),
+        Some(34_000)
+    );
+}
--- a/crates/gateway/src/client/mod.rs
+++ b/crates/gateway/src/client/mod.rs
@@ -38,6 +38,11 @@
 /// core.
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest total wait for a buffer for one message.
+///
+/// A client that stops within a message is owed its error within 3 s: this wait and the stall timeout of a second.
+const MAX_BUFFER_WAIT: Duration = Duration::from_millis(1_500);
+
 /// Round trip time of a usual network: a client accepted less than this ago may have a request under way.
 const ROUND_TRIP: Duration = Duration::from_millis(20);
 
@@ -109,6 +114,8 @@
     activity: ClientActivity,
     /// Buffer reserved for a long message.
     reservation: Option<BufferReservation>,
+    /// How long a buffer has been waited for.
+    buffer_wait: Duration,
     /// When the message must be complete, or received at the required rate; none before its first byte.
     deadline: Option<Instant>,
 }
@@ -191,6 +198,7 @@
         let mut progress = MessageInProgress {
             activity: ClientActivity::StartupReceived,
             reservation: None,
+            buffer_wait: Duration::ZERO,
             deadline: None,
         };
         let mut skip_until_sync = false;
@@ -270,6 +278,7 @@
         } else {
             ClientActivity::MessageReceived
         };
+        progress.buffer_wait = Duration::ZERO;
         if progress.deadline.take().is_some() {
             self.registration.on_message_complete();
         }
@@ -360,7 +369,7 @@
         let registration = self.registration.clone();
         tokio::select! {
             biased;
-            outcome = self.read_bytes(length, &mut progress.reservation) => outcome,
+            outcome = self.read_bytes(length, progress) => outcome,
             () = registration.evicted() => Ok(ReadOutcome::Evicted),
             () = eviction.requested(activity, idle_since), if may_be_evicted => Ok(match activity {
                 // At shutdown a message that has begun is still read; if there are too many connections, it is rejected.
@@ -377,19 +386,23 @@
     async fn read_bytes(
         &mut self,
         length: usize,
-        reservation: &mut Option<BufferReservation>,
+        progress: &mut MessageInProgress,
     ) -> io::Result<ReadOutcome> {
         let before = self.connection.input.len();
         let reserved = self.connection.reserve_input(
             length,
             &self.registration,
             ReservationKind::Request,
-            reservation,
+            &mut progress.reservation,
         );
-        match timeout(MESSAGE_TIMEOUT, reserved).await {
+        let wait_limit = MAX_BUFFER_WAIT.saturating_sub(progress.buffer_wait);
+        match timeout(wait_limit, reserved).await {
             Ok(Duration::ZERO) => {}
             // The gateway did not read in that time, so it does not count for the client's rate.
-            Ok(waited) => self.registration.exclude_wait(waited),
+            Ok(waited) => {
+                progress.buffer_wait += waited;
+                self.registration.exclude_wait(waited);
+            }
             Err(_) => return Ok(ReadOutcome::NoCapacity),
         }
         let n = self.connection.read().await?;
