Requests: the id of a write whose client left does not run a second time

Failed before: a_write_whose_client_left_does_not_run_again_under_its_id.

A client sent a write and left before its answer; the write ran. The same id, sent again on another connection, was taken for a new request and ran again.

Cause: ids were known only while their request was open or an attempt was under way.

Why it works: the id is remembered in the step that releases it, so there is no moment in which neither table has it.

Left: another gateway, and this one after a restart, does not know these ids.

--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -130,6 +130,7 @@
             return None;
         }
         open.mark_finished();
+        open.client_left = true;
         open.answer_sender = None;
         self.metrics.on_client_disconnected();
         Some(())
@@ -220,7 +221,8 @@
 
     /// Frees the index of a request that is finished and has no outstanding attempt.
     pub(crate) fn recycle_index(&self, request: usize) {
-        let removed = self.requests.borrow_mut().remove_releasable(request);
+        let now = self.clock.now();
+        let removed = self.requests.borrow_mut().remove_releasable(now, request);
         if let Some(open) = removed {
             self.finish_unanswered_write(&open);
         }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -374,8 +374,9 @@
         }
     }
 
-    /// Returns the sizes of the tables by name. None of them grows with the number of ids ever seen.
-    pub fn table_sizes(&self) -> [(&'static str, usize); 6] {
+    /// Returns the sizes of the tables by name. None of them grows with the number of ids ever seen; ids of executed writes
+    /// are kept up to a bound.
+    pub fn table_sizes(&self) -> [(&'static str, usize); 7] {
         let requests = self.requests.borrow();
         let endpoints = self.endpoints.sizes();
         [
@@ -385,6 +386,7 @@
             ("commands", requests.capacity()),
             ("open_ids", requests.open_ids()),
             ("timers", self.timers.len()),
+            ("executed_ids", requests.remembered_ids()),
         ]
     }
 
--- a/crates/engine/src/intake.rs
+++ b/crates/engine/src/intake.rs
@@ -70,6 +70,7 @@
         attempts: Attempts::default(),
         write_ticket: None,
         possibly_executed: false,
+        client_left: false,
     }
 }
 
@@ -148,6 +149,12 @@
                 "id: expected a new one, found that of an open command".into(),
             ));
         }
+        if self.requests.borrow().was_executed(header.id) {
+            return Err(Rejection::Invalid(
+                DUPLICATE_OBJECT,
+                "id: expected a new one, found that of a write that may have run".into(),
+            ));
+        }
         Ok(ResolvedNames { class, tenant, set })
     }
 
--- a/crates/engine/src/request_table.rs
+++ b/crates/engine/src/request_table.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use leverpoint_routing::api::{Consistency, Idempotency, Request, Ticks};
+use leverpoint_routing::executed_ids::{ExecutedIds, RequestEnd};
 use leverpoint_routing::interning::{RequestUsage, Sessions};
 use leverpoint_runtime::failpoint_active;
 use tokio::sync::{Notify, oneshot};
@@ -68,6 +69,8 @@
     pub(crate) write_ticket: Option<u64>,
     /// Whether any finished attempt may have been executed.
     pub(crate) possibly_executed: bool,
+    /// Whether its client disconnected or cancelled it before its final answer.
+    pub(crate) client_left: bool,
 }
 
 impl OpenRequest {
@@ -77,6 +80,16 @@
         self.finished.set();
     }
 
+    /// Returns how the request has ended. A client that is gone by now has not read the answer, if there was one.
+    fn end(&self) -> RequestEnd {
+        RequestEnd {
+            idempotency: self.idempotency,
+            possibly_executed: self.possibly_executed,
+            client_left: self.client_left
+                || (self.statement.write && self.client.is_disconnected()),
+        }
+    }
+
     /// Returns the answer of a request that is ended by shutdown. A request that may have been executed is reported as
     /// shed only if it is idempotent, as clients retry shed requests.
     fn shutdown_answer(&self) -> FinalAnswer {
@@ -110,6 +123,7 @@
     requests: Vec<Option<OpenRequest>>,
     free_indices: Vec<usize>,
     ids: HashSet<Box<str>>,
+    executed_ids: ExecutedIds,
     pub(crate) sessions: Sessions<Box<str>>,
     /// Requests in preparation, by the number of the preparation.
     preparing: BTreeMap<u64, PreparingRequest>,
@@ -123,6 +137,16 @@
         self.ids.contains(id)
     }
 
+    /// Whether a write of this id, whose client has left, may have been executed.
+    pub(crate) fn was_executed(&self, id: &str) -> bool {
+        self.executed_ids.contains(id)
+    }
+
+    /// Returns the number of ids remembered of writes that have ended.
+    pub(crate) fn remembered_ids(&self) -> usize {
+        self.executed_ids.len()
+    }
+
     pub(crate) fn add_id(&mut self, id: &str) {
         self.ids.insert(id.into());
     }
@@ -147,12 +171,14 @@
 
     /// Removes a request that is finished and has no outstanding attempt, and frees its index; returns none for any
     /// other.
-    pub(crate) fn remove_releasable(&mut self, index: usize) -> Option<OpenRequest> {
+    pub(crate) fn remove_releasable(&mut self, now: Ticks, index: usize) -> Option<OpenRequest> {
         let releasable = |open: &OpenRequest| {
             open.usage.is_releasable() || failpoint_active("index-early") && open.usage.finished
         };
         let open = self.requests[index].take_if(|open| releasable(open))?;
         self.free_indices.push(index);
+        self.executed_ids
+            .on_request_finished(now, &open.id, open.end());
         self.release(&open);
         Some(open)
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod endpoint_lease;
 mod endpoint_list;
 pub mod endpoint_watch;
+pub mod executed_ids;
 pub mod interning;
 pub mod latency;
 pub mod outlier_detection;
