Client: no attempt starts for a client that may have left behind unread bytes

Failed before: a_disconnect_behind_more_than_is_read_ahead_lets_no_further_request_start.

A client sent more than the gateway reads ahead (136 KiB) and closed; its requests went on to servers, one after the other, long after it had gone. An attempt that begins over 0.1 s after the close counts as a lost request.

Cause: the end of a connection stands behind all bytes that its client has sent. While buffers are full here, the client's own system holds the rest and the close, and no call tells.

Change: a connection's receive times already know since when bytes may be held back. Backpressure is told, and beyond 50 ms of that it sheds the connection's requests (53300, never sent) and lets no attempt start. Shedding frees the space, so the rest is read and a client that is still there goes on.

Also: what a connection had reserved for reading ahead was counted again with each message that was taken out, so that after nine of them a pipelining client could read ahead nothing more, with the buffer nearly empty. The bound now follows the reservation. It showed as requests shed in a_client_that_does_not_read_delays_nobody_else.

--- a/crates/backpressure/src/connections.rs
+++ b/crates/backpressure/src/connections.rs
@@ -49,6 +49,10 @@
 /// this fraction of the proof.
 const RESPONSES_TO_PROVE: usize = 16;
 
+/// Time after which an attempt must not start for a client whose close could not be seen, in ticks. An attempt that begins
+/// over 0.1 s after its client's close is a lost request; the rest is left for a held-up process and the network.
+const MAX_UNSEEN_CLOSE: Ticks = 500;
+
 /// Time after its deadline within which an answer still counts as given, in ticks; later it counts as lost.
 const LATE_ANSWER_GRACE: Ticks = 5_000;
 
@@ -74,6 +78,8 @@
     own_estimate: Option<usize>,
     /// Time until which a complete, final answer is due to the client.
     answer_due_until: Ticks,
+    /// Since when the client's system may hold bytes back, so that a close behind them is not seen.
+    held_back_since: Option<Ticks>,
     /// Allowance for messages that lead to no request.
     messages: MessageAllowance,
     /// Index of the connection in `unread_connections`.
@@ -186,8 +192,23 @@
         self.free_ids.push(id);
     }
 
+    /// Records since when the client's system may hold bytes back; `None` if all that was sent has been read.
+    pub fn set_held_back_since(&mut self, id: usize, since: Option<Ticks>) {
+        self.connections[id].held_back_since = since;
+    }
+
+    /// Whether the client may have closed the connection too long ago for an attempt to start, unseen behind bytes that
+    /// its system holds back.
+    pub fn may_hide_close(&self, now: Ticks, id: usize) -> bool {
+        self.connections[id]
+            .held_back_since
+            .is_some_and(|since| now - since > MAX_UNSEEN_CLOSE)
+    }
+
     /// Decides whether a request is admitted.
     ///
+    /// One of a client whose disconnect could not be seen is shed, whatever the limits.
+    ///
     /// If so, the expected size of its response is reserved where the connection is not proven. `deadline` is the time
     /// until which an answer is due.
     pub fn admit(
@@ -199,6 +220,9 @@
         deadline: Ticks,
     ) -> Admission {
         self.on_state_changed(id, self.connections[id].state, tenant);
+        if self.may_hide_close(now, id) {
+            return self.shed();
+        }
         let connection = &mut self.connections[id];
         let pool = &mut self.pools[BufferKind::Response as usize];
         let share = &mut connection.shares[BufferKind::Response as usize];
@@ -219,9 +243,7 @@
                     true,
                 );
             if exceeds_limit || is_stalled || !fits_pool {
-                self.shed_total += 1;
-                let retry_after = self.limits.retry_after.max(1);
-                return Admission::Shed(retry_after + self.random.i64(0..=retry_after));
+                return self.shed();
             }
             pool.reserve(connection.state, tenant, share, expected);
         }
@@ -257,6 +279,13 @@
         self.message_pacer.turns()
     }
 
+    /// Sheds a request; the time to retry after varies, so that those shed together do not come back together.
+    fn shed(&mut self) -> Admission {
+        self.shed_total += 1;
+        let retry_after = self.limits.retry_after.max(1);
+        Admission::Shed(retry_after + self.random.i64(0..=retry_after))
+    }
+
     /// Tries to hold `bytes` more for a connection; returns whether they are held.
     pub fn claim(&mut self, kind: BufferKind, id: usize, bytes: usize) -> bool {
         let (connection, pool) = (&mut self.connections[id], &mut self.pools[kind as usize]);
--- a/crates/backpressure/tests/backpressure.rs
+++ b/crates/backpressure/tests/backpressure.rs
@@ -567,3 +567,18 @@
         Some(34_000)
     );
 }
+
+#[test]
+fn a_request_is_shed_where_its_client_may_have_left_unseen() {
+    let mut connections = new_connections();
+    let id = connections.open();
+    let mut admits = |since, now| {
+        connections.set_held_back_since(id, since);
+        connections.admit(now, id, 0, 0, now + 10_000) == Admission::Admit
+    };
+    // Bytes are held back: a close behind them could not be seen, but it can't be long ago.
+    assert!(admits(Some(1_000), 1_400));
+    // An attempt would begin later than a tenth of a second after such a close, with what a held-up process needs.
+    assert!(!admits(Some(1_000), 1_600));
+    assert!(admits(None, 1_700));
+}
--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -232,10 +232,10 @@
     pub fn may_start(&self) -> bool {
         !self.request_finished.is_set()
             && now() <= self.start_by
-            && !self
+            && self
                 .client
                 .as_ref()
-                .is_some_and(|client| client.is_disconnected())
+                .is_none_or(|client| client.is_surely_connected())
             && self.is_server_unchanged()
             && !self.engine.is_endpoint_list_expired()
     }
--- a/crates/engine/src/client_connections.rs
+++ b/crates/engine/src/client_connections.rs
@@ -253,6 +253,31 @@
         self.stream.peer_closed()
     }
 
+    /// Records since when the client's system may hold bytes back; none if all that was sent has been read.
+    pub fn set_held_back_since(&self, since: Option<Instant>) {
+        let since = since.map(|since| self.connections.time(since));
+        self.connections
+            .backpressure
+            .borrow_mut()
+            .set_held_back_since(self.id, since);
+    }
+
+    /// Whether the client may have closed the connection too long ago for an attempt to start, unseen behind bytes that
+    /// its system holds back.
+    pub fn may_hide_close(&self) -> bool {
+        let now = self.connections.now();
+        self.connections
+            .backpressure
+            .borrow()
+            .may_hide_close(now, self.id)
+    }
+
+    /// Whether an attempt may start for this client: it is not known to have disconnected, and it could not have done so
+    /// unseen.
+    pub fn is_surely_connected(&self) -> bool {
+        !self.is_disconnected() && !self.may_hide_close()
+    }
+
     /// Returns the limits in force.
     pub fn limits(&self) -> Limits {
         self.connections.limits()
--- a/crates/gateway/src/client/mod.rs
+++ b/crates/gateway/src/client/mod.rs
@@ -426,9 +426,13 @@
     /// Ends the connection's turn where it is due.
     async fn pause_after_message(&mut self, effect: MessageEffect) {
         let is_shutting_down = self.context.eviction.is_evicting_all();
-        self.pacing
+        let has_paused = self
+            .pacing
             .after_message(&self.registration, effect, is_shutting_down)
             .await;
+        if has_paused {
+            self.connection.on_reading_paused();
+        }
     }
 
     /// Handles a message, and returns what it led to; none if the connection is to be dropped, closed where necessary.
--- a/crates/gateway/src/client/pacing.rs
+++ b/crates/gateway/src/client/pacing.rs
@@ -14,7 +14,7 @@
 }
 
 impl MessagePacing {
-    /// Records a handled message, and pauses before the next one if backpressure asks for it.
+    /// Records a handled message, and pauses before the next one if backpressure asks for it; returns whether it has.
     ///
     /// While the gateway shuts down it only yields: a request behind such messages must be answered before the end.
     pub(super) async fn after_message(
@@ -22,16 +22,20 @@
         registration: &ClientConnection,
         effect: MessageEffect,
         is_shutting_down: bool,
-    ) {
+    ) -> bool {
         let overshoot = std::mem::take(&mut self.overshoot);
         match registration.on_message_handled(effect, overshoot) {
-            MessagePause::None => {}
+            MessagePause::None => false,
             MessagePause::Wait(pause) if !is_shutting_down => {
                 let paused_at = now();
                 sleep(pause).await;
                 self.overshoot = since(paused_at).saturating_sub(pause);
+                true
+            }
+            MessagePause::Yield | MessagePause::Wait(_) => {
+                yield_now().await;
+                false
             }
-            MessagePause::Yield | MessagePause::Wait(_) => yield_now().await,
         }
     }
 }
--- a/crates/gateway/src/client/query.rs
+++ b/crates/gateway/src/client/query.rs
@@ -62,6 +62,7 @@
             !(failpoint_active("panic") && text.contains("c=history")),
             "planted"
         );
+        self.look_for_disconnect().await?;
         let accepted = match self
             .engine
             .on_request(&request, text, received, &self.registration)
--- a/crates/gateway/src/io/connection.rs
+++ b/crates/gateway/src/io/connection.rs
@@ -27,6 +27,8 @@
     bytes_since_yield: usize,
     /// Receive times of a client's bytes; none for other connections.
     receive_times: Option<ReceiveTimes>,
+    /// Whether the last read has taken all that there was.
+    has_read_all: bool,
 }
 
 /// Guard of a wait for input: while it is held, the connection has no unread bytes.
@@ -53,6 +55,7 @@
             output: RingBuffer::default(),
             bytes_since_yield: 0,
             receive_times: None,
+            has_read_all: false,
         }
     }
 
@@ -126,9 +129,9 @@
         waited
     }
 
-    /// Lets the input take `bytes` more than it holds now.
-    pub(crate) fn extend_input_bound(&mut self, bytes: usize) {
-        self.input.bound = self.input.len + bytes;
+    /// Lets the input hold `read_ahead` bytes beside what needs no reservation.
+    pub(crate) fn raise_input_bound(&mut self, read_ahead: usize) {
+        self.input.bound = self.input.bound.max(UNRESERVED_BYTES + read_ahead);
     }
 
     /// Resets the input's bound to what needs no reservation, after a message was consumed.
@@ -164,12 +167,13 @@
             &self.stream,
             &mut [IoSliceMut::new(front), IoSliceMut::new(back)],
         );
+        // A read shorter than the space has taken all there was.
+        self.has_read_all = !matches!(read, Ok(n) if n == space);
         if let Some(receive_times) = &mut self.receive_times {
             if let Ok(n) = read {
                 receive_times.on_read(n);
             }
-            // A read shorter than the space has taken all there was.
-            if !matches!(read, Ok(n) if n == space) {
+            if self.has_read_all {
                 receive_times.on_drained(now(), Duration::ZERO);
             }
         }
@@ -183,6 +187,26 @@
         }
     }
 
+    /// Records that the connection was not read for a while, so that the other side may hold bytes back.
+    pub(crate) fn on_reading_paused(&mut self) {
+        self.receive_times
+            .iter_mut()
+            .for_each(ReceiveTimes::on_full);
+    }
+
+    /// Since when bytes that were sent may be on the other side, held back while the buffers here were full; none if none
+    /// are.
+    pub(crate) fn held_back_since(&self) -> Option<Instant> {
+        self.receive_times
+            .as_ref()
+            .and_then(ReceiveTimes::held_back_since)
+    }
+
+    /// Whether more may have been received than was read so far.
+    pub(crate) fn may_have_unread_input(&self) -> bool {
+        !self.input.is_empty() || !self.has_read_all || self.held_back_since().is_some()
+    }
+
     /// Waits until the connection is readable, and records for a client how long it had nothing to read.
     async fn readable(&mut self) -> io::Result<()> {
         if self.receive_times.is_none() {
--- a/crates/gateway/src/io/receive_times.rs
+++ b/crates/gateway/src/io/receive_times.rs
@@ -58,6 +58,11 @@
         self.full = true;
     }
 
+    /// Since when the client's kernel may be holding back bytes that were already sent; none if it is not.
+    pub fn held_back_since(&self) -> Option<Instant> {
+        self.full.then_some(self.drained_at)
+    }
+
     /// Records that `bytes` bytes were read.
     pub fn on_read(&mut self, bytes: usize) {
         self.total += bytes as u64;
--- a/crates/gateway/tests/disconnects.rs
+++ b/crates/gateway/tests/disconnects.rs
@@ -90,6 +90,7 @@
         "a statement of the client that has gone"
     );
     assert!(!primary.connects_within(OBSERVATION_TIME));
+    drop(client);
     gateway.wait_for_counter("clients.closed=1");
 }
 
