Backpressure: turns of messages without a request are counted by their length as well

Need: of five further kinds of flood (messages of the extended protocol, invalid queries of 60 KiB, pipelined reads of ever new sessions, short connections, requests to cancel) the second delayed other clients' answers to 197 ms, 103 ms on average (debug build), as one of its messages counted as much as an empty query.

Change: a message is one unit of work and each 4 KiB of a longer one are another; allowance, batch and turn are counted in units.

--- a/crates/backpressure/src/connections.rs
+++ b/crates/backpressure/src/connections.rs
@@ -11,7 +11,7 @@
 use crate::buffer_pool::{BufferPool, BufferShare};
 use crate::eviction_order::{EvictionOrder, EvictionRank};
 use crate::limits::Limits;
-use crate::message_pacing::{MessageAllowance, MessageEffect, MessagePacer, Pace};
+use crate::message_pacing::{HandledMessage, MessageAllowance, MessagePacer, Pace};
 use crate::response_size::ResponseSizes;
 use crate::state::{self, Action, ConnectionState, TransferAssessment};
 use crate::throughput::ThroughputMeter;
@@ -260,13 +260,13 @@
         &mut self,
         now: Ticks,
         id: usize,
-        effect: MessageEffect,
+        message: HandledMessage,
         timer_delay: Ticks,
     ) -> Pace {
         let allowance = &mut self.connections[id].messages;
         let pace = self
             .message_pacer
-            .on_message(now, allowance, effect, timer_delay);
+            .on_message(now, allowance, message, timer_delay);
         match pace {
             // Without limits a turn still ends, so that other tasks run.
             Pace::Wait(_) if !self.limits.enabled => Pace::Yield,
--- a/crates/backpressure/src/lib.rs
+++ b/crates/backpressure/src/lib.rs
@@ -36,6 +36,6 @@
 pub use connections::{Admission, BufferKind, Connections, EvictionCandidate};
 pub use leverpoint_routing::api::Ticks;
 pub use limits::Limits;
-pub use message_pacing::{MessageEffect, Pace};
+pub use message_pacing::{HandledMessage, MessageEffect, Pace};
 pub use slow_response::SlowResponseDetector;
 pub use state::{Action, ConnectionState};
--- a/crates/engine/src/client_connections.rs
+++ b/crates/engine/src/client_connections.rs
@@ -10,7 +10,7 @@
 pub use leverpoint_backpressure::BufferKind;
 use leverpoint_backpressure::{
     Action, Admission, ArrivalRateLimiter, ConnectionState, Connections as Backpressure,
-    EvictionCandidate, Limits, MessageEffect, Pace,
+    EvictionCandidate, HandledMessage, Limits, Pace,
 };
 use leverpoint_config::settings::{duration_to_ticks, ticks_to_duration};
 use leverpoint_routing::api::Ticks;
@@ -366,7 +366,7 @@
 
     /// Records a handled message, and returns what the connection does before its next one. `late` is how much longer
     /// than asked its last wait took.
-    pub fn on_message_handled(&self, effect: MessageEffect, late: Duration) -> MessagePause {
+    pub fn on_message_handled(&self, message: HandledMessage, late: Duration) -> MessagePause {
         let pace = self
             .connections
             .backpressure
@@ -374,7 +374,7 @@
             .on_message_handled(
                 self.connections.now(),
                 self.id,
-                effect,
+                message,
                 duration_to_ticks(late),
             );
         match pace {
--- a/crates/gateway/src/client/mod.rs
+++ b/crates/gateway/src/client/mod.rs
@@ -16,7 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use leverpoint_backpressure::MessageEffect;
+use leverpoint_backpressure::{HandledMessage, MessageEffect};
 use leverpoint_engine::client_connections::{
     BufferKind as ReservationKind, BufferReservation, ClientConnection, ClientConnections,
 };
@@ -203,14 +203,15 @@
         };
         let mut skip_until_sync = false;
         while let Some((tag, body)) = self.next_message(&mut progress).await? {
-            let reservation = progress.reservation.take();
+            let (length, reservation) = (body.len(), progress.reservation.take());
             let handled = self
                 .handle_message(tag, body, reservation, &mut skip_until_sync)
                 .await?;
             let Some(effect) = handled else {
                 break;
             };
-            self.pause_after_message(effect).await;
+            self.pause_after_message(HandledMessage { effect, length })
+                .await;
         }
         Ok(())
     }
@@ -424,11 +425,11 @@
     }
 
     /// Ends the connection's turn where it is due.
-    async fn pause_after_message(&mut self, effect: MessageEffect) {
+    async fn pause_after_message(&mut self, message: HandledMessage) {
         let is_shutting_down = self.context.eviction.is_evicting_all();
         let has_paused = self
             .pacing
-            .after_message(&self.registration, effect, is_shutting_down)
+            .after_message(&self.registration, message, is_shutting_down)
             .await;
         if has_paused {
             self.connection.on_reading_paused();
--- a/crates/gateway/src/client/pacing.rs
+++ b/crates/gateway/src/client/pacing.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use leverpoint_backpressure::MessageEffect;
+use leverpoint_backpressure::HandledMessage;
 use leverpoint_engine::client_connections::{ClientConnection, MessagePause};
 use leverpoint_runtime::{now, since, sleep, yield_now};
 
@@ -20,11 +20,11 @@
     pub(super) async fn after_message(
         &mut self,
         registration: &ClientConnection,
-        effect: MessageEffect,
+        message: HandledMessage,
         is_shutting_down: bool,
     ) -> bool {
         let overshoot = std::mem::take(&mut self.overshoot);
-        match registration.on_message_handled(effect, overshoot) {
+        match registration.on_message_handled(message, overshoot) {
             MessagePause::None => false,
             MessagePause::Wait(pause) if !is_shutting_down => {
                 let paused_at = now();
--- a/crates/gateway/src/client/startup.rs
+++ b/crates/gateway/src/client/startup.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use leverpoint_backpressure::MessageEffect;
+use leverpoint_backpressure::{HandledMessage, MessageEffect};
 use leverpoint_engine::descriptor_budget::ClientActivity;
 use leverpoint_engine::diagnostics::CloseReason;
 use leverpoint_runtime::timeout_at;
@@ -54,7 +54,11 @@
             match code {
                 messages::SSL_REQUEST | messages::GSSENC_REQUEST => {
                     self.write(b"N").await?;
-                    self.pause_after_message(MessageEffect::NoRequest).await;
+                    self.pause_after_message(HandledMessage {
+                        effect: MessageEffect::NoRequest,
+                        length: body.len(),
+                    })
+                    .await;
                 }
                 messages::CANCEL_REQUEST => {
                     // The protocol has no answer to a cancel: the connection is closed whatever its effect.
--- a/crates/gateway/tests/floods.rs
+++ b/crates/gateway/tests/floods.rs
@@ -191,3 +191,28 @@
 fn a_flood_of_expired_writes_of_new_sessions_delays_no_other_client() {
     check_beside_flood(FloodKind::ExpiredWritesOfNewSessions("report"));
 }
+
+#[test]
+fn a_flood_of_extended_messages_delays_no_other_client() {
+    check_beside_flood(FloodKind::ExtendedMessages);
+}
+
+#[test]
+fn a_flood_of_long_invalid_queries_delays_no_other_client() {
+    check_beside_flood(FloodKind::LongInvalidQueries);
+}
+
+#[test]
+fn a_flood_of_short_connections_delays_no_other_client() {
+    check_beside_flood(FloodKind::ShortConnections);
+}
+
+#[test]
+fn a_flood_of_cancel_requests_delays_no_other_client() {
+    check_beside_flood(FloodKind::CancelRequests);
+}
+
+#[test]
+fn a_flood_of_pipelined_reads_of_new_sessions_delays_no_other_client() {
+    check_beside_flood(FloodKind::PipelinedReads("view"));
+}
--- a/crates/test-support/src/flood.rs
+++ b/crates/test-support/src/flood.rs
@@ -16,6 +16,8 @@
 
 /// SSLRequest, a startup packet that asks for TLS.
 const SSL_REQUEST: &[u8] = b"\0\0\0\x08\x04\xd2\x16\x2f";
+/// CancelRequest with a key that belongs to no connection.
+const CANCEL_REQUEST: &[u8] = b"\0\0\0\x10\x04\xd2\x16\x2e\0\0\0\0\0\0\0\0";
 /// Length in bytes of the messages that are written at once.
 const CHUNK_BYTES: usize = 16 << 10;
 /// Size of the kernel's send buffer in bytes.
@@ -40,27 +42,57 @@
     SessionStatements,
     /// Well-formed reads of this class whose client timeout has passed already.
     ExpiredReads(&'static str),
+    /// Messages of the extended protocol, which is not spoken.
+    ExtendedMessages,
+    /// Queries of 60 KiB that are no statement of the protocol.
+    LongInvalidQueries,
+    /// Well-formed reads of this class, sent without waiting for their answers, each of a session of its own.
+    PipelinedReads(&'static str),
+    /// Connections that send some empty queries and close unread, each after the other.
+    ShortConnections,
+    /// Connections that ask for the cancellation of a request that does not exist, each after the other.
+    CancelRequests,
     /// Well-formed writes of this class, each of a session of its own, whose client timeout has passed already.
     ExpiredWritesOfNewSessions(&'static str),
 }
 
 impl FloodKind {
-    /// The kinds that operators have reported.
-    pub const REPORTED: [FloodKind; 4] = [
-        FloodKind::EmptyQueries,
-        FloodKind::NoIdNoTimeout,
-        FloodKind::UnknownClasses,
-        FloodKind::SslRequests,
-    ];
+    /// All kinds; those with requests are of the class `class`, and of `write_class` where they write.
+    pub fn all(class: &'static str, write_class: &'static str) -> [FloodKind; 14] {
+        [
+            FloodKind::EmptyQueries,
+            FloodKind::NoIdNoTimeout,
+            FloodKind::UnknownClasses,
+            FloodKind::UnknownTenants,
+            FloodKind::SslRequests,
+            FloodKind::Syncs,
+            FloodKind::SessionStatements,
+            FloodKind::ExtendedMessages,
+            FloodKind::LongInvalidQueries,
+            FloodKind::ShortConnections,
+            FloodKind::CancelRequests,
+            FloodKind::ExpiredReads(class),
+            FloodKind::PipelinedReads(class),
+            FloodKind::ExpiredWritesOfNewSessions(write_class),
+        ]
+    }
 
     /// Returns the bytes that open a connection of this kind.
     fn opening(self) -> &'static [u8] {
         match self {
-            FloodKind::SslRequests => b"",
+            FloodKind::SslRequests | FloodKind::CancelRequests => b"",
             _ => STARTUP_MESSAGE,
         }
     }
 
+    /// Whether a connection of this kind is closed once its first messages are sent.
+    fn closes_at_once(self) -> bool {
+        matches!(
+            self,
+            FloodKind::ShortConnections | FloodKind::CancelRequests
+        )
+    }
+
     /// Returns message `number` of a client whose messages all have `name` in their ids.
     fn message(self, name: &str, number: u64) -> Vec<u8> {
         let read = |comment: &str| {
@@ -80,6 +112,14 @@
             FloodKind::SslRequests => SSL_REQUEST.to_vec(),
             FloodKind::Syncs => b"S\0\0\0\x04".to_vec(),
             FloodKind::SessionStatements => query_message("SET search_path = main"),
+            FloodKind::ExtendedMessages => b"P\0\0\0\x08\0\0\0\0".to_vec(),
+            FloodKind::LongInvalidQueries => query_message(&"x".repeat(60 << 10)),
+            FloodKind::PipelinedReads(class) => query_message(&format!(
+                "SELECT v FROM records WHERE k = 'session{name}{number:x}' \
+                 /* id={name}{number:x},c={class},t=acme,d=300,cluster=2 */"
+            )),
+            FloodKind::ShortConnections => query_message("").repeat(8),
+            FloodKind::CancelRequests => CANCEL_REQUEST.to_vec(),
             FloodKind::ExpiredReads(class) => read(&format!(
                 "id={name}{number:x},c={class},t=acme,d=0,cluster=2"
             )),
@@ -166,6 +206,11 @@
         SockRef::from(&writer).set_send_buffer_size(SEND_BUFFER_BYTES)?;
         self.connections.lock().unwrap()[client] = Some(writer.try_clone()?);
         let (shared, mut reader) = (self.clone(), writer.try_clone()?);
+        if kind.closes_at_once() {
+            let bytes = [kind.opening(), &kind.message("", 0)].concat();
+            self.sent_bytes.fetch_add(bytes.len() as u64, Relaxed);
+            return writer.write_all(&bytes);
+        }
         let reading = thread::spawn(move || {
             let mut buffer = vec![0; CHUNK_BYTES];
             while let Ok(n @ 1..) = reader.read(&mut buffer) {
