Floods: a seeded soak of mixed floods, idle crowds and signals

It is sent SIGHUP, SIGUSR1, SIGHUP and SIGTERM twice while all of that goes on. No request may be lost, no order may reach a server twice, memory and the time to the end hold to their limits. Six seeds by themselves, LEVERPOINT_SOAK_SEEDS=0..50 for more.

--- /dev/null
+++ b/crates/gateway/tests/flood_soak.rs
@@ -0,0 +1,242 @@
+//! Seeded mixtures of floods, idle crowds and signals beside well-behaved clients, on real connections.
+//!
+//! `LEVERPOINT_SOAK_SEEDS=0..50` plays these seeds; a few are played without it.
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use leverpoint_test_support::client::Client;
+use leverpoint_test_support::flood::{Flood, FloodKind};
+use leverpoint_test_support::gateway::{self as gateway_process, Gateway};
+use leverpoint_test_support::server::{Server, always_row, start_server};
+use leverpoint_test_support::wire::{query_message, select};
+
+/// Seeds that are played where the environment names none.
+const DEFAULT_SEEDS: std::ops::Range<u64> = 0..6;
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(434);
+/// How much later than its client timeout an answer may come before its request counts as lost.
+const LATE_ANSWER_LIMIT: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(10);
+const CLIENTS: usize = 8;
+/// Requests of each client before the gateway is told to end; it goes on until the connection ends.
+const REQUESTS_BEFORE_SIGTERM: usize = 60;
+/// Earliest time after SIGTERM at which the platform kills the process: the longest client timeout and 0.7 s.
+const KILL_AFTER_SIGTERM: Duration = Duration::from_millis(2_700);
+/// The gateway's limit of memory in MiB.
+const MEMORY: usize = 64;
+
+const SETTINGS: &str = r#"{"balancers": 1, "me": 0, "tickMs": 5.0, "zone": 0, "zones": ["a"], "discovery": "pushed",
+    "contract": {"answerSlackMs": 20.0, "coldMs": 9000.0, "fallMs": 1500.0, "fallMultiple": 2.5, "startCapacity": 0.2,
+     "stopSendingWithinMs": 500.0},
+    "familyInfo": {"guards": "reject", "listRole": "delayed", "oldestDataMs": [0.0, 0.0, 0.0],
+     "readLevel": ["loose", "update", "update"], "stamps": true, "tokens": "router"},
+    "grades": [
+     {"name": "view", "aimMs": 400.0, "deadlineMs": 2000.0, "semantics": "pure", "worth": 1.0, "lateWorth": 1.0},
+     {"name": "report", "aimMs": 300.0, "deadlineMs": 2000.0, "semantics": "token", "group": "cell",
+      "keyTtlMs": 2000.0, "worth": 3.0, "lateWorth": 0.5},
+     {"name": "order", "aimMs": 300.0, "deadlineMs": 2000.0, "semantics": "side_effect", "worth": 3.0}],
+    "policyLimits": {"sendCap": 4, "retryAfter": true, "maxRetryAfterMs": 2000.0, "connectTimeoutMs": 250.0,
+     "idleCloseMs": 15000.0},
+    "tenants": [{"name": "acme", "share": 1.0, "quotaPerS": 100000.0}]}"#;
+
+/// What a well-behaved client saw.
+#[derive(Debug, Default)]
+struct Observed {
+    answered: usize,
+    /// Errors, each a final answer.
+    errors: usize,
+    lost: Vec<String>,
+}
+
+/// One request of a well-behaved client.
+fn statement(id: &str, nth: usize) -> String {
+    let timeout = CLIENT_TIMEOUT.as_millis();
+    match nth % 3 {
+        0 => format!(
+            "SELECT v FROM records WHERE k = '7f3a' /* id={id},c=view,t=acme,d={timeout},cluster=2 */"
+        ),
+        1 => format!(
+            "INSERT INTO records (k, v) VALUES ('7f3a', '\\x9f') RETURNING v \
+             /* id={id},c=report,t=acme,d={timeout},k={id},cluster=2 */"
+        ),
+        _ => format!(
+            "INSERT INTO records (k, v) VALUES ('7f3a', '\\x9f') RETURNING v \
+             /* id={id},c=order,t=acme,d={timeout},cluster=2 */"
+        ),
+    }
+}
+
+/// Sends requests, one after the other, until the gateway closes the connection.
+///
+/// A connection that ends without a byte of an answer counts as lost before `is_ending` is set. After that the platform
+/// lets the client send the request again elsewhere.
+fn run_client(mut client: Client, number: usize, is_ending: &AtomicBool) -> Observed {
+    let mut observed = Observed::default();
+    client
+        .stream
+        .set_read_timeout(Some(CLIENT_TIMEOUT + LATE_ANSWER_LIMIT))
+        .unwrap();
+    for nth in 0.. {
+        let id = format!("a{number:x}b{nth:x}");
+        let was_ending = is_ending.load(Relaxed);
+        let sent =
+            std::io::Write::write_all(&mut client.stream, &query_message(&statement(&id, nth)));
+        let first = sent.and_then(|()| client.stream.peek(&mut [0; 1]));
+        match first {
+            Ok(1..) => {}
+            _ if is_ending.load(Relaxed) && !is_timeout(&first) => return observed,
+            _ => {
+                observed
+                    .lost
+                    .push(format!("{id} (ending: {was_ending}): {first:?}"));
+                return observed;
+            }
+        }
+        match client.read_response() {
+            answer if answer.starts_with("T D ") => observed.answered += 1,
+            answer if answer.ends_with('Z') => observed.errors += 1,
+            answer => {
+                observed.lost.push(format!("{id}: {answer}"));
+                return observed;
+            }
+        }
+        thread::sleep(PAUSE);
+    }
+    observed
+}
+
+fn is_timeout<T>(result: &std::io::Result<T>) -> bool {
+    use std::io::ErrorKind::{TimedOut, WouldBlock};
+    result
+        .as_ref()
+        .is_err_and(|error| matches!(error.kind(), TimedOut | WouldBlock))
+}
+
+/// Counts how often each write has reached a server, and returns the ids of those of class `order` that did so twice.
+fn repeated_orders(servers: &[&Server]) -> Vec<String> {
+    let mut counts: HashMap<String, usize> = HashMap::new();
+    for statement in servers
+        .iter()
+        .flat_map(|server| server.statements.try_iter())
+    {
+        if let Some(id) = statement
+            .contains("c=order")
+            .then(|| statement.split("id=").nth(1)?.split(',').next())
+            .flatten()
+        {
+            *counts.entry(id.to_owned()).or_default() += 1;
+        }
+    }
+    let repeated = counts.into_iter().filter(|(_, count)| *count > 1);
+    repeated.map(|(id, _)| id).collect()
+}
+
+fn peak_memory(gateway: &Gateway) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", gateway.child.id())).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    line.and_then(|line| line.split_whitespace().nth(1)?.parse::<usize>().ok())
+        .expect("VmHWM in kB")
+        << 10
+}
+
+/// Starts the floods of a seed: one to three kinds, one to eight clients of each.
+fn start_floods(rng: &mut Rng, to: SocketAddr) -> Vec<Flood> {
+    let mut kinds = FloodKind::all("view", "report");
+    rng.shuffle(&mut kinds);
+    let count = rng.usize(1..=3);
+    kinds[..count]
+        .iter()
+        .map(|kind| Flood::start(to, *kind, rng.usize(1..=8)))
+        .collect()
+}
+
+/// Opens connections that say nothing; on some seeds none.
+fn start_crowd(rng: &mut Rng, to: SocketAddr) -> Vec<TcpStream> {
+    let size = *rng.choice([0, 0, 50, 200].iter()).unwrap();
+    (0..size)
+        .filter_map(|_| TcpStream::connect(to).ok())
+        .collect()
+}
+
+fn start_clients(clients: Vec<Client>, is_ending: &Arc<AtomicBool>) -> Vec<JoinHandle<Observed>> {
+    let start = |(number, client): (usize, Client)| {
+        let is_ending = is_ending.clone();
+        thread::spawn(move || run_client(client, number, &is_ending))
+    };
+    clients.into_iter().enumerate().map(start).collect()
+}
+
+/// Plays one seed.
+fn play(seed: u64) {
+    let mut rng = Rng::with_seed(seed);
+    let primary = start_server("read-write", always_row("one"));
+    let replica = start_server("read-only", always_row("one"));
+    let mut gateway = gateway_process::start_with_servers(
+        Path::new(env!("CARGO_BIN_EXE_leverpoint")),
+        &[(&primary, "read-write"), (&replica, "read-only")],
+        SETTINGS,
+        (MEMORY, 512),
+        &[],
+    );
+    let to: SocketAddr = gateway.address.parse().unwrap();
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|_| {
+            let mut client = gateway.connect_client();
+            // Opens connections to the servers, and proves the client's.
+            for _ in 0..20 {
+                assert!(client.run_statement(&select("view")).starts_with("T D "));
+            }
+            client
+        })
+        .collect();
+    let crowd = start_crowd(&mut rng, to);
+    let floods = start_floods(&mut rng, to);
+    let is_ending = Arc::new(AtomicBool::new(false));
+    let running = start_clients(clients, &is_ending);
+    thread::sleep(PAUSE * REQUESTS_BEFORE_SIGTERM as u32);
+    for signal in ["-HUP", "-USR1", "-HUP"] {
+        gateway.signal(signal);
+    }
+    let peak = peak_memory(&gateway);
+    is_ending.store(true, Relaxed);
+    let ended_at = Instant::now();
+    gateway.signal("-TERM");
+    gateway.signal("-TERM");
+    let status = gateway.child.wait().unwrap();
+    let took = ended_at.elapsed();
+    let observed: Vec<_> = running
+        .into_iter()
+        .map(|client| client.join().unwrap())
+        .collect();
+    drop((floods, crowd));
+    let lost: Vec<_> = observed.iter().flat_map(|client| &client.lost).collect();
+    let answered: usize = observed.iter().map(|client| client.answered).sum();
+    let errors: usize = observed.iter().map(|client| client.errors).sum();
+    eprintln!(
+        "seed {seed}: {answered} answered, {errors} errors, {lost:?} lost, peak {peak}, ended in {took:?}"
+    );
+    assert!(lost.is_empty(), "seed {seed}: {lost:?}");
+    assert!(status.success(), "seed {seed}: {status}");
+    assert!(took < KILL_AFTER_SIGTERM, "seed {seed}: {took:?}");
+    assert!(peak < MEMORY << 20, "seed {seed}: {peak} bytes");
+    let repeated = repeated_orders(&[&primary, &replica]);
+    assert!(repeated.is_empty(), "seed {seed}: {repeated:?} ran twice");
+}
+
+#[test]
+fn no_request_is_lost_beside_seeded_floods_crowds_and_signals() {
+    let seeds = match std::env::var("LEVERPOINT_SOAK_SEEDS") {
+        Err(_) => DEFAULT_SEEDS,
+        Ok(range) => {
+            let (first, end) = range.split_once("..").expect("a range of seeds");
+            first.parse().unwrap()..end.parse().unwrap()
+        }
+    };
+    seeds.for_each(play);
+}
