Tests: one form of the settings, one reader of a process's peak memory

Need: the settings of a gateway with the classes view, report and order stood in six test files, two of them as functions of their own.

Gateway::peak_memory reads VmHWM for two of them.

--- a/crates/test-support/src/gateway.rs
+++ b/crates/test-support/src/gateway.rs
@@ -204,6 +204,16 @@
         }
     }
 
+    /// Returns the most memory that the process has had resident, in bytes.
+    pub fn peak_memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+        let kib: usize = line
+            .and_then(|line| line.split_whitespace().nth(1)?.parse().ok())
+            .expect("VmHWM in kB");
+        kib << 10
+    }
+
     /// Polls the counters until they contain `what`, a `name=value` pair. Panics after [`WAIT_LIMIT`].
     pub fn wait_for_counter(&self, what: &str) {
         let started_at = Instant::now();
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod relay;
 pub mod replica_set;
 pub mod server;
+pub mod settings;
 pub mod slow_clients;
 pub mod tcp_table;
 pub mod values;
