--- a/crates/backpressure/src/connections.rs
+++ b/crates/backpressure/src/connections.rs
@@ -9,12 +9,12 @@
 
 use crate::Ticks;
 use crate::buffer_pool::{BufferPool, BufferShare};
+use crate::connection::Connection;
 use crate::eviction_order::{EvictionOrder, EvictionRank};
 use crate::limits::Limits;
-use crate::message_pacing::{HandledMessage, MessageAllowance, MessagePacer, Pace};
+use crate::message_pacing::{HandledMessage, MessagePacer, Pace};
 use crate::response_size::ResponseSizes;
 use crate::state::{self, Action, ConnectionState, TransferAssessment};
-use crate::throughput::ThroughputMeter;
 
 /// Purpose for which buffer bytes are held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,68 +49,6 @@
 /// this fraction of the proof.
 const RESPONSES_TO_PROVE: usize = 16;
 
-/// Time after which an attempt must not start for a client whose close could not be seen, in ticks. An attempt that begins
-/// over 0.1 s after its client's close is a lost request; the rest is left for a held-up process and the network.
-const MAX_UNSEEN_CLOSE: Ticks = 500;
-
-/// Time after its deadline within which an answer still counts as given, in ticks; later it counts as lost.
-const LATE_ANSWER_GRACE: Ticks = 5_000;
-
-#[derive(Clone, Debug, Default)]
-struct Connection {
-    state: ConnectionState,
-    tenant: usize,
-    /// Class of the last admitted request.
-    class: usize,
-    /// Throughput of outgoing responses.
-    outgoing: ThroughputMeter,
-    /// Throughput of incoming requests.
-    incoming: ThroughputMeter,
-    /// Time in which the gateway did not read the message that is being received, for lack of buffer.
-    incoming_wait: Ticks,
-    /// Buffer bytes by [`BufferKind`].
-    shares: [BufferShare; 2],
-    /// Bytes drained at a good rate since the connection was last proven or fell below a good rate.
-    proof_credit: usize,
-    /// Whether the outgoing bytes include a row.
-    sends_row: bool,
-    /// Estimated size of the connection's responses, in bytes; `None` before the first of them.
-    own_estimate: Option<usize>,
-    /// Time until which a complete, final answer is due to the client.
-    answer_due_until: Ticks,
-    /// Since when the client's system may hold bytes back, so that a close behind them is not seen.
-    held_back_since: Option<Ticks>,
-    /// Allowance for messages that lead to no request.
-    messages: MessageAllowance,
-    /// Index of the connection in `unread_connections`.
-    unread_index: Option<usize>,
-}
-
-impl Connection {
-    /// Time of the next check of an incomplete message within its grace; `None` if the gateway has waited for a buffer,
-    /// the grace has passed with that wait, and the client has sent nothing for the stall timeout.
-    fn stopped_after_wait_at(
-        &self,
-        limits: &Limits,
-        now: Ticks,
-        grace_ends: Ticks,
-    ) -> Option<Ticks> {
-        if self.incoming_wait == 0 || self.incoming.pending() == 0 {
-            return Some(grace_ends);
-        }
-        let stopped_at = now - self.incoming.idle_for(now) + limits.stall_timeout;
-        let with_wait = grace_ends - self.incoming_wait;
-        let check_at = stopped_at.max(with_wait).min(grace_ends);
-        (now < check_at).then_some(check_at)
-    }
-
-    /// Whether an answer that the client has not read by now counts as lost, so that the connection may be evicted for
-    /// another one.
-    fn is_answer_lost(&self, now: Ticks) -> bool {
-        now >= self.answer_due_until + LATE_ANSWER_GRACE
-    }
-}
-
 /// Client connections of a gateway, by index.
 pub struct Connections {
     limits: Limits,
@@ -200,9 +138,7 @@
     /// Whether the client may have closed the connection too long ago for an attempt to start, unseen behind bytes that
     /// its system holds back.
     pub fn may_hide_close(&self, now: Ticks, id: usize) -> bool {
-        self.connections[id]
-            .held_back_since
-            .is_some_and(|since| now - since > MAX_UNSEEN_CLOSE)
+        self.connections[id].may_hide_close(now)
     }
 
     /// Decides whether a request is admitted.
--- a/crates/backpressure/src/lib.rs
+++ b/crates/backpressure/src/lib.rs
@@ -22,6 +22,7 @@
 
 pub mod arrival_rate;
 pub mod buffer_pool;
+mod connection;
 pub mod connections;
 pub mod eviction_order;
 pub mod limits;
