Servers: the messages of an answer bound a turn as well as its bytes

Cause: a turn of the reader was bounded in bytes, and 64 KiB are 13,000 such messages.

Change: each message of a server counts as 1 KiB of work, so that a turn ends after 64 of them, ahead of the next message. A usual answer has six, so a connection yields once in some ten answers.

--- a/crates/gateway/src/io/connection.rs
+++ b/crates/gateway/src/io/connection.rs
@@ -14,8 +14,10 @@
 use crate::io::receive_times::ReceiveTimes;
 use crate::io::ring_buffer::{MIN_SIZE, RingBuffer};
 
-/// Bytes that a connection reads or writes before it yields to other tasks.
+/// Work of a connection, in bytes read or written, after which it yields to other tasks.
 const YIELD_THRESHOLD: usize = 64 << 10;
+/// Bytes that count for each message of a server, however short it is: parsing it takes as long as copying so many.
+const MESSAGE_WORK: usize = 1 << 10;
 
 /// A connection with a ring buffer for each direction.
 pub(crate) struct BufferedConnection {
@@ -23,8 +25,8 @@
     /// Bytes read and not yet consumed.
     pub input: RingBuffer,
     output: RingBuffer,
-    /// Bytes read or written since the task last yielded.
-    bytes_since_yield: usize,
+    /// Bytes read or written since the task last yielded, and what counts for messages.
+    work_since_yield: usize,
     /// Receive times of a client's bytes; none for other connections.
     receive_times: Option<ReceiveTimes>,
     /// Whether the last read has taken all that there was.
@@ -53,7 +55,7 @@
             stream,
             input: RingBuffer::default(),
             output: RingBuffer::default(),
-            bytes_since_yield: 0,
+            work_since_yield: 0,
             receive_times: None,
             has_read_all: false,
         }
@@ -181,7 +183,7 @@
             0 => Err(ErrorKind::UnexpectedEof.into()),
             n => {
                 self.input.len += n;
-                self.bytes_since_yield += n;
+                self.work_since_yield += n;
                 Ok(n)
             }
         }
@@ -255,10 +257,18 @@
         self.try_read()
     }
 
+    /// Yields to other tasks if it is due, and counts one more message that is taken out of the input.
+    ///
+    /// The number of messages bounds a turn as well as their bytes: 64 KiB hold thousands of the shortest ones.
+    pub(crate) async fn yield_for_message(&mut self) {
+        self.yield_if_due().await;
+        self.work_since_yield += MESSAGE_WORK;
+    }
+
     /// Yields to other tasks once [`YIELD_THRESHOLD`] bytes have been read or written.
     pub(crate) async fn yield_if_due(&mut self) {
-        if self.bytes_since_yield >= YIELD_THRESHOLD {
-            self.bytes_since_yield = 0;
+        if self.work_since_yield >= YIELD_THRESHOLD {
+            self.work_since_yield = 0;
             yield_now().await;
         }
     }
@@ -302,7 +312,7 @@
             {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(n) => {
-                    self.bytes_since_yield += n;
+                    self.work_since_yield += n;
                     return Ok(self.output.skip(n));
                 }
                 Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
--- a/crates/gateway/src/server/answer.rs
+++ b/crates/gateway/src/server/answer.rs
@@ -64,6 +64,7 @@
         progress: &mut AnswerProgress<'_>,
     ) -> io::Result<AnswerMessage> {
         let mut reservation = None;
+        self.socket.yield_for_message().await;
         loop {
             let length = match messages::decode_message(&mut self.socket.input) {
                 DecodeResult::Message(tag, body) => {
--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -79,6 +79,7 @@
     }
 
     async fn next_startup_message(&mut self) -> io::Result<(u8, Vec<u8>)> {
+        self.socket.yield_for_message().await;
         loop {
             match messages::decode_message(&mut self.socket.input) {
                 DecodeResult::Message(tag, body) => {
--- a/crates/gateway/tests/floods.rs
+++ b/crates/gateway/tests/floods.rs
@@ -1,5 +1,6 @@
 //! Clients that send small or invalid messages at full speed beside well-behaved ones, on real connections.
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::{Mutex, PoisonError};
@@ -9,9 +10,10 @@
 use leverpoint_test_support::client::Client;
 use leverpoint_test_support::flood::{Flood, FloodKind};
 use leverpoint_test_support::gateway::{self as gateway_process, Gateway};
+use leverpoint_test_support::manual::{ManualConnection, ManualServer};
 use leverpoint_test_support::server::{always_row, start_server};
 use leverpoint_test_support::settings::Settings;
-use leverpoint_test_support::wire::{query_message, select};
+use leverpoint_test_support::wire::{insert, query_message, select};
 
 /// The client timeout of the well-behaved clients.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(434);
@@ -203,3 +205,47 @@
 fn a_flood_of_pipelined_reads_of_new_sessions_delays_no_other_client() {
     check_beside_flood(FloodKind::PipelinedReads("view"));
 }
+
+/// Answers of a server that never end, of the shortest messages there are, one for each of some requests.
+#[test]
+fn many_endless_answers_of_the_shortest_messages_delay_no_other_client() {
+    let _one_at_a_time = FLOOD.lock().unwrap_or_else(PoisonError::into_inner);
+    let endless = ManualServer::new();
+    let replica = start_server("read-only", always_row("one"));
+    let gateway = gateway_process::start_with_addresses(
+        Path::new(env!("CARGO_BIN_EXE_leverpoint")),
+        &[
+            (&endless.address, "read-write"),
+            (&replica.address, "read-only"),
+        ],
+        &Settings::usual().to_json(),
+        (192, 1024),
+        &[],
+    );
+    let mut clients: Vec<_> = (0..CLIENTS).map(|_| gateway.connect_client()).collect();
+    let notices = b"N\0\0\0\x04".repeat(16 << 10);
+    let connections: Vec<_> = clients
+        .iter_mut()
+        .map(|client| {
+            client.send(&query_message(&insert("report")));
+            let mut connection = endless.accept_ready();
+            connection.read_statement().unwrap();
+            connection
+        })
+        .collect();
+    let write = |mut connection: ManualConnection| {
+        let notices = notices.clone();
+        // Writes until the gateway has closed the connection.
+        thread::spawn(move || while connection.stream.write_all(&notices).is_ok() {})
+    };
+    let writers: Vec<_> = connections.into_iter().map(write).collect();
+    let mut well_behaved = gateway.connect_client();
+    let mut longest = Duration::ZERO;
+    while writers.iter().any(|writer| !writer.is_finished()) {
+        let sent = Instant::now();
+        assert_eq!(well_behaved.run_statement(&select("view")), "T D one C Z");
+        longest = longest.max(sent.elapsed());
+    }
+    eprintln!("longest answer {longest:?}");
+    assert!(longest < CLIENT_TIMEOUT, "{longest:?}");
+}
