--- a/crates/backpressure/src/connection.rs
+++ b/crates/backpressure/src/connection.rs
@@ -27,7 +27,7 @@
     pub(crate) incoming: ThroughputMeter,
     /// Time in which the gateway did not read the message that is being received, for lack of buffer.
     pub(crate) incoming_wait: Ticks,
-    /// Buffer bytes by [`BufferKind`].
+    /// Buffer bytes by [`BufferKind`](crate::connections::BufferKind).
     pub(crate) shares: [BufferShare; 2],
     /// Bytes drained at a good rate since the connection was last proven or fell below a good rate.
     pub(crate) proof_credit: usize,
