Flood soak: a request that SIGKILL finds unanswered counts as lost

Cause: replaced the soak's bound on the end of the process by a kill at the platform's earliest time, and let a connection that ends by that kill pass. A gateway that did not end and left requests unanswered in its last second would have gone unnoticed, which the former bound would have shown.

Change: the clients know whether the process was killed; a request without an answer at that moment is lost.

--- a/crates/gateway/tests/flood_soak.rs
+++ b/crates/gateway/tests/flood_soak.rs
@@ -42,6 +42,15 @@
     lost: Vec<String>,
 }
 
+/// How far the end of the gateway has come.
+#[derive(Default)]
+struct GatewayEnd {
+    /// Set before SIGTERM.
+    is_ending: AtomicBool,
+    /// Set before SIGKILL, which comes only to a gateway that has not ended by itself.
+    is_killed: AtomicBool,
+}
+
 /// One request of a well-behaved client.
 fn statement(id: &str, nth: usize) -> String {
     let timeout = CLIENT_TIMEOUT.as_millis();
@@ -63,8 +72,8 @@
 /// Sends requests, one after the other, until the gateway closes the connection.
 ///
 /// A connection that ends without a byte of an answer counts as lost before `is_ending` is set. After that the platform
-/// lets the client send the request again elsewhere.
-fn run_client(mut client: Client, number: usize, is_ending: &AtomicBool) -> Observed {
+/// lets the client send the request again elsewhere, but for a request that SIGKILL finds unanswered.
+fn run_client(mut client: Client, number: usize, end: &GatewayEnd) -> Observed {
     let mut observed = Observed::default();
     client
         .stream
@@ -72,13 +81,18 @@
         .unwrap();
     for nth in 0.. {
         let id = format!("a{number:x}b{nth:x}");
-        let was_ending = is_ending.load(Relaxed);
+        let was_ending = end.is_ending.load(Relaxed);
         let sent =
             std::io::Write::write_all(&mut client.stream, &query_message(&statement(&id, nth)));
         let first = sent.and_then(|()| client.stream.peek(&mut [0; 1]));
         match first {
             Ok(1..) => {}
-            _ if is_ending.load(Relaxed) && !is_timeout(&first) => return observed,
+            _ if end.is_ending.load(Relaxed)
+                && !end.is_killed.load(Relaxed)
+                && !is_timeout(&first) =>
+            {
+                return observed;
+            }
             _ => {
                 observed
                     .lost
@@ -148,23 +162,24 @@
         .collect()
 }
 
-fn start_clients(clients: Vec<Client>, is_ending: &Arc<AtomicBool>) -> Vec<JoinHandle<Observed>> {
+fn start_clients(clients: Vec<Client>, end: &Arc<GatewayEnd>) -> Vec<JoinHandle<Observed>> {
     let start = |(number, client): (usize, Client)| {
-        let is_ending = is_ending.clone();
-        thread::spawn(move || run_client(client, number, &is_ending))
+        let end = end.clone();
+        thread::spawn(move || run_client(client, number, &end))
     };
     clients.into_iter().enumerate().map(start).collect()
 }
 
 /// Waits for the end of the process, and kills it at `kill_at` as the platform may; returns its status if it ended by
 /// itself.
-fn wait_or_kill(gateway: &mut Gateway, kill_at: Instant) -> Option<ExitStatus> {
+fn wait_or_kill(gateway: &mut Gateway, kill_at: Instant, end: &GatewayEnd) -> Option<ExitStatus> {
     while Instant::now() < kill_at {
         if let Some(status) = gateway.child.try_wait().unwrap() {
             return Some(status);
         }
         thread::sleep(PAUSE / 2);
     }
+    end.is_killed.store(true, Relaxed);
     gateway.child.kill().unwrap();
     None
 }
@@ -194,18 +209,18 @@
         .collect();
     let crowd = start_crowd(&mut rng, to);
     let floods = start_floods(&mut rng, to);
-    let is_ending = Arc::new(AtomicBool::new(false));
-    let running = start_clients(clients, &is_ending);
+    let end = Arc::new(GatewayEnd::default());
+    let running = start_clients(clients, &end);
     thread::sleep(PAUSE * REQUESTS_BEFORE_SIGTERM as u32);
     for signal in ["-HUP", "-USR1", "-HUP"] {
         gateway.signal(signal);
     }
     let peak = gateway.peak_memory();
-    is_ending.store(true, Relaxed);
+    end.is_ending.store(true, Relaxed);
     let ended_at = Instant::now();
     gateway.signal("-TERM");
     gateway.signal("-TERM");
-    let status = wait_or_kill(&mut gateway, ended_at + KILL_AFTER_SIGTERM);
+    let status = wait_or_kill(&mut gateway, ended_at + KILL_AFTER_SIGTERM, &end);
     let took = ended_at.elapsed();
     let observed: Vec<_> = running
         .into_iter()
