--- a/review/stand-ins-2/src/bin/case-10.rs
+++ b/review/stand-ins-2/src/bin/case-10.rs
@@ -1,15 +1,23 @@
-//! Case 10: followed sessions on a disk; one start at which the disk cannot be used, between two at which it can.
+//! Case 10: a read with a token, behind a write whose row came whole and whose connection was then reset.
 
 use std::collections::HashMap;
 use std::io;
 use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use review_stand_ins_2::*;
 
 /// How far the replicas are behind, with the disruption and without.
-const LAG_MS: f64 = 3_000.0;
-const SESSIONS: usize = 8;
+const LAG_MS: f64 = 400.0;
+const SESSIONS: usize = 12;
+
+const OPERATOR: &str = r#"sessions {
+  follow = true
+  number = "8c1f30d27a5be964"
+  keys   = ["7:00112233445566778899aabbccddeeff"]
+}
+"#;
 
 const SETTINGS: &str = r#"{"balancers":1,"me":0,"tickMs":5.0,"zone":0,"zones":["hall"],"discovery":"pushed",
 "contract":{"answerSlackMs":20.0,"askEveryMs":10000.0,"coldMs":9000.0,"fallMs":1500.0,"fallMultiple":2.5,"startCapacity":0.2,"stopSendingWithinMs":500.0},
@@ -20,15 +28,18 @@
 "report":{"how":"none","names":[]},"overShareWorth":0.1,
 "tenants":[{"name":"acme","share":1.0,"quotaPerS":1000.0}]}"#;
 
+/// The log of the set: each write with its commit.
 struct Set {
     record: Record,
     log: Mutex<HashMap<String, Vec<(f64, Vec<u8>)>>>,
+    writes: AtomicU64,
 }
 
 struct Member {
     set: Arc<Set>,
     name: &'static str,
     primary: bool,
+    trouble: bool,
 }
 
 impl Database for Member {
@@ -46,19 +57,22 @@
             let value = statement.value.as_bytes().chunks(2).map(|p| u8::from_str_radix(std::str::from_utf8(p).unwrap(), 16).unwrap()).collect::<Vec<u8>>();
             let commit = unix_ms();
             set.log.lock().unwrap().entry(statement.key.clone()).or_default().push((commit, value.clone()));
-            set.record.line(format!("{} ran the write id={id} of {}, value {value:?}", self.name, statement.key));
-            let mut out = row(&value, true);
-            out.extend(report(true, commit, true));
-            connection.stream.write_all(&out)?;
+            connection.stream.write_all(&row(&value, true))?;
+            // One in five writes, none of them among the first, loses its connection right behind the whole row.
+            if self.trouble && set.writes.fetch_add(1, Ordering::Relaxed) % 5 == 4 {
+                set.record.line(format!("{} ran the write id={id} of {}, answered the whole row, and its connection ends", self.name, statement.key));
+                return Ok(false);
+            }
+            connection.stream.write_all(&report(true, commit, true))?;
             return Ok(true);
         }
+        // A server without a check answers from what it has.
         let position = if self.primary { unix_ms() } else { unix_ms() - LAG_MS };
         let value = {
             let log = set.log.lock().unwrap();
             let versions = log.get(&statement.key);
             versions.and_then(|v| v.iter().rev().find(|(commit, _)| *commit <= position)).map_or(Vec::new(), |(_, v)| v.clone())
         };
-        set.record.line(format!("{} ran the read id={id} of {}, value {value:?}", self.name, statement.key));
         let mut out = row(&value, false);
         out.extend(report(self.primary, position, false));
         connection.stream.write_all(&out)?;
@@ -67,79 +81,54 @@
 }
 
 fn judge(case: &Case) -> Result<bool, String> {
-    let set = Arc::new(Set { record: case.record.clone(), log: Mutex::default() });
-    let member = |name, primary| Arc::new(Member { set: set.clone(), name, primary });
-    let members = [member("s-1", true), member("s-2", false), member("s-3", false)];
+    let set = Arc::new(Set { record: case.record.clone(), log: Mutex::default(), writes: AtomicU64::new(0) });
+    let member = |name, primary| Arc::new(Member { set: set.clone(), name, primary, trouble: case.trouble });
+    let members = [member("s-1", true), member("s-2", false), member("s-3", false), member("s-4", false)];
     let targets: Vec<Target> = members.iter().map(|m| Target {
         uid: m.name.into(), endpoint: start_server(m.clone()), az: "hall".into(), group: 1, state: "up",
         mode: if m.primary { "read-write" } else { "read-only" }, boot_ms: 0,
     }).collect();
     let discovery = Discovery::start(targets.clone());
-    let (listen, disk, aside) = (free_address(), case.folder.join("disk"), case.folder.join("disk-aside"));
-    let operator = format!(
-        "sessions {{\n  follow = true\n  moves = false\n  alone = true\n  disk = \"{}\"\n  number = \"8c1f30d27a5be964\"\n}}\n",
-        disk.display()
-    );
-    let start = || Gateway::start(case, &GatewayFiles {
-        name: "n1", listen, discovery: discovery.address, known: list_json(1, &targets), settings: SETTINGS,
-        memory_mb: 128, operator: Some(operator.clone()),
-    });
-    let stop = |gateway: &Gateway| -> Result<(), String> {
-        gateway.signal("TERM");
-        let ended = gateway.wait(8_000);
-        case.record.line("gateway n1 ended in order");
-        if ended { Ok(()) } else { Err("the gateway did not end".into()) }
-    };
-    let sessions: Vec<String> = (0..SESSIONS).map(|n| format!("session-{n}-{}", new_id())).collect();
-    let write_all = |gateway: &Gateway, value: u8| -> Result<Vec<String>, String> {
-        let mut client = Client::connect(gateway.address).map_err(|e| e.to_string())?;
-        let mut written = Vec::new();
-        for session in &sessions {
-            let id = new_id();
-            let text = write_text(session, &hex(&[value]), &format!("id={id},c=report,t=acme,d=2000,k={},cluster=1", new_id()));
-            let answer = client.query(&text, 3000);
-            case.record.line(format!("client has for the write id={id} of {session}: {answer:?}"));
-            if matches!(answer, Answer::Row(_)) { written.push(session.clone()); }
-        }
-        Ok(written)
-    };
-    std::fs::create_dir_all(&disk).map_err(|e| e.to_string())?;
-    let gateway = start()?;
-    write_all(&gateway, 1)?;
-    stop(&gateway)?;
-    // Long enough for the replicas to have these writes.
-    sleep_ms(3_300);
-    if case.trouble {
-        // The folder cannot be opened: what stands in its place is a file.
-        std::fs::rename(&disk, &aside).map_err(|e| e.to_string())?;
-        std::fs::write(&disk, "no folder").map_err(|e| e.to_string())?;
-        case.record.line("the disk cannot be used at the next start");
-    }
-    let gateway = start()?;
-    let written = write_all(&gateway, 2)?;
-    stop(&gateway)?;
-    if case.trouble {
-        std::fs::remove_file(&disk).map_err(|e| e.to_string())?;
-        std::fs::rename(&aside, &disk).map_err(|e| e.to_string())?;
-        case.record.line("the disk is repaired");
-    }
-    let gateway = start()?;
+    let gateway = Gateway::start(case, &GatewayFiles {
+        name: "n1", listen: free_address(), discovery: discovery.address, known: list_json(1, &targets), settings: SETTINGS,
+        memory_mb: 128, operator: Some(OPERATOR.into()),
+    })?;
     let mut client = Client::connect(gateway.address).map_err(|e| e.to_string())?;
     let (mut judged, mut broken) = (0, 0);
-    for session in &written {
-        let id = new_id();
-        let answer = client.query(&read_text(session, &format!("id={id},c=own-result,t=acme,d=1500,cluster=1")), 2500);
-        case.record.line(format!("client has for the read id={id} of {session}: {answer:?}"));
-        if let Answer::Row(value) = answer {
-            judged += 1;
-            if value != [2] {
-                broken += 1;
-                case.record.line(format!("BROKEN: the read id={id} does not see the session's last write, which was answered"));
+    for n in 0..SESSIONS {
+        let session = format!("session-{n}-{}", new_id());
+        let mut token: Option<String> = None;
+        for version in 1..=3u8 {
+            client.notice = None;
+            // The replicas have what the session wrote before.
+            sleep_ms(600);
+            let (write_id, read_id) = (new_id(), new_id());
+            let text = write_text(&session, &hex(&[version]), &format!("id={write_id},c=report,t=acme,d=2000,k={},cluster=1", new_id()));
+            let answer = client.query(&text, 3000);
+            case.record.line(format!("client has for the write id={write_id} of {session}, value {version}: {answer:?}"));
+            if !matches!(answer, Answer::Row(_)) {
+                continue;
+            }
+            // The client keeps the last token that it was given.
+            let fresh = client.notice.take();
+            case.record.line(format!("with {}", if fresh.is_some() { "a token" } else { "no token" }));
+            token = fresh.or(token);
+            let after = token.as_ref().map_or(String::new(), |token| format!(",after={token}"));
+            // The read of the same client, on the same connection, behind the answer.
+            sleep_ms(20);
+            let answer = client.query(&read_text(&session, &format!("id={read_id},c=own-result,t=acme,d=1500,cluster=1{after}")), 3000);
+            case.record.line(format!("client has for the read id={read_id} of {session}: {answer:?}"));
+            if let Answer::Row(value) = answer {
+                judged += 1;
+                if value != [version] {
+                    broken += 1;
+                    case.record.line(format!("BROKEN: the read id={read_id} does not see the session's write id={write_id}, which was answered before"));
+                }
             }
         }
     }
     case.record.line(format!("{judged} reads answered with a row, {broken} of them without the session's last write"));
-    if judged == 0 { return Err("no read was answered".into()); }
+    if judged < SESSIONS { return Err("too few reads were answered".into()); }
     Ok(broken == 0)
 }
 
--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -409,6 +409,14 @@
 pub struct Client {
     stream: TcpStream,
     input: Vec<u8>,
+    /// The field D of the last notice.
+    pub notice: Option<String>,
+}
+
+/// The field with this letter of an error or a notice.
+fn field(body: &[u8], tag: u8) -> String {
+    let mut fields = body.split(|b| *b == 0).filter(|f| f.first() == Some(&tag));
+    fields.next().map_or(String::new(), |f| String::from_utf8_lossy(&f[1..]).into_owned())
 }
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
@@ -423,7 +431,7 @@
         let stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_secs(5)))?;
-        let mut client = Client { stream, input: Vec::new() };
+        let mut client = Client { stream, input: Vec::new(), notice: None };
         let mut body = 196_608u32.to_be_bytes().to_vec();
         body.extend_from_slice(b"user\0svc\0database\0main\0\0");
         let mut out = (body.len() as u32 + 4).to_be_bytes().to_vec();
@@ -467,13 +475,8 @@
             match self.next_message() {
                 Ok((b'D', body)) => value = Some(body[6..].to_vec()),
                 Ok((b'C' | b'I', _)) => complete = true,
-                Ok((b'E', body)) => {
-                    let field = |tag: u8| {
-                        let mut fields = body.split(|b| *b == 0).filter(|f| f.first() == Some(&tag));
-                        fields.next().map_or(String::new(), |f| String::from_utf8_lossy(&f[1..]).into_owned())
-                    };
-                    failure = Some(Answer::Error(field(b'C'), field(b'M')));
-                }
+                Ok((b'N', body)) => self.notice = Some(field(&body, b'D')),
+                Ok((b'E', body)) => failure = Some(Answer::Error(field(&body, b'C'), field(&body, b'M'))),
                 Ok((b'Z', _)) => {
                     return match (failure, value) {
                         (Some(failure), _) => failure,
