--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -297,6 +297,7 @@
 }
 
 extern "C" {
+    fn prctl(option: i32, argument: u64, ...) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
 }
 
@@ -555,7 +556,10 @@
             command_line += &format!(" --operator {}", path.display());
         }
         let log = File::create(folder.join("log.txt")).map_err(|e| e.to_string())?;
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // PR_SET_PDEATHSIG, SIGKILL: the gateway ends with the case, also where the case is killed.
+        unsafe { std::os::unix::process::CommandExt::pre_exec(&mut command, || { prctl(1, 9u64); Ok(()) }) };
+        let child = command
             .arg("-c")
             .arg(&command_line)
             .current_dir(&case.root)
