--- a/review/stand-ins-2/src/bin/case-6.rs
+++ b/review/stand-ins-2/src/bin/case-6.rs
@@ -47,7 +47,9 @@
 impl Database for Member {
     fn gate(&self) -> bool {
         let until = *self.hang_until.lock().unwrap();
-        let left = until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()));
+        let left = until.map_or(Duration::ZERO, |until| {
+            until.saturating_duration_since(Instant::now())
+        });
         thread::sleep(left);
         !left.is_zero()
     }
@@ -55,7 +57,10 @@
     fn run(&self, statement: Statement, connection: &mut ServerConnection) -> io::Result<bool> {
         let set = &self.set;
         let bytes = statement.value.len() / 2;
-        let (id, key) = (statement.field("id").to_owned(), statement.field("k").to_owned());
+        let (id, key) = (
+            statement.field("id").to_owned(),
+            statement.field("k").to_owned(),
+        );
         if statement.write && !self.primary {
             let mut out = error("25006");
             out.extend(report(false, unix_ms() - 20.0, false));
@@ -64,40 +69,78 @@
         }
         if !statement.write {
             sleep_ms(30);
-            let value = set.values.lock().unwrap().get(&statement.key).cloned().unwrap_or_default();
+            let value = set
+                .values
+                .lock()
+                .unwrap()
+                .get(&statement.key)
+                .cloned()
+                .unwrap_or_default();
             self.gate();
             let mut out = row(&value, false);
-            out.extend(report(self.primary, unix_ms() - if self.primary { 0.0 } else { 20.0 }, false));
+            out.extend(report(
+                self.primary,
+                unix_ms() - if self.primary { 0.0 } else { 20.0 },
+                false,
+            ));
             connection.stream.write_all(&out)?;
             return Ok(true);
         }
         // What had come whole to the server's system before the end of a hang counts as come at the beginning of the hang.
-        let whole_before = statement.come_at_hang_end.is_some_and(|come| come >= statement.bytes);
-        let arrived = if whole_before { statement.last_byte - HANG_MS as f64 } else { statement.last_byte };
-        set.record.line(format!("{} has the whole write id={id} k={key} of {} bytes{}", self.name, statement.bytes,
-            statement.come_at_hang_end.map_or(String::new(), |come| format!(", of which {come} had come when its hang ended"))));
+        let whole_before = statement
+            .come_at_hang_end
+            .is_some_and(|come| come >= statement.bytes);
+        let arrived = if whole_before {
+            statement.last_byte - HANG_MS as f64
+        } else {
+            statement.last_byte
+        };
+        set.record.line(format!(
+            "{} has the whole write id={id} k={key} of {} bytes{}",
+            self.name,
+            statement.bytes,
+            statement
+                .come_at_hang_end
+                .map_or(String::new(), |come| format!(
+                    ", of which {come} had come when its hang ended"
+                ))
+        ));
         sleep_ms(WORK_MS);
         self.gate();
-        let value: Vec<u8> = statement.value.as_bytes().chunks(2).map(|p| u8::from_str_radix(std::str::from_utf8(p).unwrap(), 16).unwrap()).collect();
+        let value: Vec<u8> = statement
+            .value
+            .as_bytes()
+            .chunks(2)
+            .map(|p| u8::from_str_radix(std::str::from_utf8(p).unwrap(), 16).unwrap())
+            .collect();
         let commit = unix_ms();
         {
             let mut applied = set.applied.lock().unwrap();
             let entry = applied.entry(key.clone()).or_insert((commit, 0));
             // The time of the key runs from the first run of its write to the arrival of the repeat.
             if entry.1 > 0 && arrived - entry.0 < WINDOW_MS {
-                set.record.line(format!("{} drops the repeat of k={key}, {:.0} ms after its run", self.name, arrived - entry.0));
+                set.record.line(format!(
+                    "{} drops the repeat of k={key}, {:.0} ms after its run",
+                    self.name,
+                    arrived - entry.0
+                ));
             } else {
                 entry.1 += 1;
                 set.record.line(format!(
                     "{} applies k={key} for the {}. time; its last byte came {:.0} ms after the first run", self.name, entry.1,
                     (arrived - entry.0).max(0.0)
                 ));
-                set.values.lock().unwrap().insert(statement.key.clone(), value.clone());
+                set.values
+                    .lock()
+                    .unwrap()
+                    .insert(statement.key.clone(), value.clone());
             }
         }
         if bytes > 1000 && self.armed.swap(false, Ordering::Relaxed) && self.trouble {
-            set.record.line(format!("{} hangs for {HANG_MS} ms", self.name));
-            *self.hang_until.lock().unwrap() = Some(Instant::now() + Duration::from_millis(HANG_MS));
+            set.record
+                .line(format!("{} hangs for {HANG_MS} ms", self.name));
+            *self.hang_until.lock().unwrap() =
+                Some(Instant::now() + Duration::from_millis(HANG_MS));
         }
         self.gate();
         let mut out = row(&value, true);
@@ -110,7 +153,10 @@
 fn comment(class: &str, ms: u64, key: Option<&str>) -> (String, String) {
     let id = new_id();
     let key = key.map_or(String::new(), |k| format!(",k={k}"));
-    (id.clone(), format!("id={id},c={class},t=acme,d={ms}{key},cluster=1"))
+    (
+        id.clone(),
+        format!("id={id},c={class},t=acme,d={ms}{key},cluster=1"),
+    )
 }
 
 fn view_comment() -> (String, String) {
@@ -118,40 +164,80 @@
 }
 
 fn judge(case: &Case) -> Result<bool, String> {
-    let set = Arc::new(Set { record: case.record.clone(), applied: Mutex::default(), values: Mutex::default() });
+    let set = Arc::new(Set {
+        record: case.record.clone(),
+        applied: Mutex::default(),
+        values: Mutex::default(),
+    });
     let member = |name, primary| {
-        Arc::new(Member { set: set.clone(), name, primary, trouble: case.trouble, hang_until: Mutex::new(None), armed: AtomicBool::new(false) })
+        Arc::new(Member {
+            set: set.clone(),
+            name,
+            primary,
+            trouble: case.trouble,
+            hang_until: Mutex::new(None),
+            armed: AtomicBool::new(false),
+        })
     };
-    let members = [member("s-1", true), member("s-2", false), member("s-3", false)];
-    let targets: Vec<Target> = members.iter().map(|m| Target {
-        uid: m.name.into(), endpoint: start_server(m.clone()), az: "hall".into(), group: 1, state: "up",
-        mode: if m.primary { "read-write" } else { "read-only" }, boot_ms: 0,
-    }).collect();
+    let members = [
+        member("s-1", true),
+        member("s-2", false),
+        member("s-3", false),
+    ];
+    let targets: Vec<Target> = members
+        .iter()
+        .map(|m| Target {
+            uid: m.name.into(),
+            endpoint: start_server(m.clone()),
+            az: "hall".into(),
+            group: 1,
+            state: "up",
+            mode: if m.primary { "read-write" } else { "read-only" },
+            boot_ms: 0,
+        })
+        .collect();
     let discovery = Discovery::start(targets.clone());
-    let gateway = Gateway::start(case, &GatewayFiles {
-        name: "n1", listen: free_address(), discovery: discovery.address, known: list_json(1, &targets), settings: SETTINGS,
-        memory_mb: 128, operator: None,
-    })?;
+    let gateway = Gateway::start(
+        case,
+        &GatewayFiles {
+            name: "n1",
+            listen: free_address(),
+            discovery: discovery.address,
+            known: list_json(1, &targets),
+            settings: SETTINGS,
+            memory_mb: 128,
+            operator: None,
+        },
+    )?;
     let client = |e: io::Error| format!("client: {e}");
     // Usual traffic: four clients write in turns, so that times are known and connections are open.
     let warm = |count: usize| -> Result<(), String> {
-        let threads: Vec<_> = (0..8).map(|n| {
-            let (address, record) = (gateway.address, case.record.clone());
-            thread::spawn(move || -> Result<u32, String> {
-                let mut client = Client::connect(address).map_err(|e| e.to_string())?;
-                let mut rows = 0;
-                for i in 0..count {
-                    let (id, comment) = comment("report", 3000, Some(&new_id()));
-                    let answer = client.query(&write_text(&format!("w{n}-{i}"), "00ff", &comment), 4000);
-                    rows += u32::from(matches!(answer, Answer::Row(_)));
-                    if !matches!(answer, Answer::Row(_)) { record.line(format!("usual write id={id}: {answer:?}")); }
-                }
-                Ok(rows)
+        let threads: Vec<_> = (0..8)
+            .map(|n| {
+                let (address, record) = (gateway.address, case.record.clone());
+                thread::spawn(move || -> Result<u32, String> {
+                    let mut client = Client::connect(address).map_err(|e| e.to_string())?;
+                    let mut rows = 0;
+                    for i in 0..count {
+                        let (id, comment) = comment("report", 3000, Some(&new_id()));
+                        let answer =
+                            client.query(&write_text(&format!("w{n}-{i}"), "00ff", &comment), 4000);
+                        rows += u32::from(matches!(answer, Answer::Row(_)));
+                        if !matches!(answer, Answer::Row(_)) {
+                            record.line(format!("usual write id={id}: {answer:?}"));
+                        }
+                    }
+                    Ok(rows)
+                })
             })
-        }).collect();
+            .collect();
         let mut rows = 0;
-        for thread in threads { rows += thread.join().map_err(|_| "thread")??; }
-        if rows < 4 * count as u32 { return Err(format!("only {rows} of the usual writes were answered")); }
+        for thread in threads {
+            rows += thread.join().map_err(|_| "thread")??;
+        }
+        if rows < 4 * count as u32 {
+            return Err(format!("only {rows} of the usual writes were answered"));
+        }
         Ok(())
     };
     warm(28)?;
@@ -161,29 +247,47 @@
         let key = format!("key-{round}-{}", new_id());
         let (id, comment) = comment("report", 3000, Some(&key));
         members[0].armed.store(true, Ordering::Relaxed);
-        case.record.line(format!("client sends the write id={id} k={key} of 64 KiB"));
-        let text = write_text(&format!("big-{round}"), &hex(&vec![round as u8; 64 << 10]), &comment);
+        case.record
+            .line(format!("client sends the write id={id} k={key} of 64 KiB"));
+        let text = write_text(
+            &format!("big-{round}"),
+            &hex(&vec![round as u8; 64 << 10]),
+            &comment,
+        );
         big.send(&text).map_err(client)?;
         // The same client's next command, on the same connection, behind the write.
         sleep_ms(40);
         let (next_id, next) = view_comment();
-        case.record.line(format!("client sends the read id={next_id} behind it"));
+        case.record
+            .line(format!("client sends the read id={next_id} behind it"));
         big.send(&read_text("w0-0", &next)).map_err(client)?;
         let answer = big.answer(4000);
-        case.record.line(format!("client has for id={id}: {}", match &answer {
-            Answer::Row(v) => format!("a row of {} bytes", v.len()),
-            other => format!("{other:?}"),
-        }));
+        case.record.line(format!(
+            "client has for id={id}: {}",
+            match &answer {
+                Answer::Row(v) => format!("a row of {} bytes", v.len()),
+                other => format!("{other:?}"),
+            }
+        ));
         let next_answer = big.answer(4000);
-        case.record.line(format!("client has for id={next_id}: {next_answer:?}"));
+        case.record
+            .line(format!("client has for id={next_id}: {next_answer:?}"));
         sleep_ms(1500);
     }
     let applied = set.applied.lock().unwrap();
-    let twice: Vec<_> = applied.iter().filter(|(_, (_, times))| *times > 1).collect();
+    let twice: Vec<_> = applied
+        .iter()
+        .filter(|(_, (_, times))| *times > 1)
+        .collect();
     for (key, (_, times)) in &twice {
-        case.record.line(format!("BROKEN: k={key} was applied {times} times"));
+        case.record
+            .line(format!("BROKEN: k={key} was applied {times} times"));
     }
-    case.record.line(format!("{} keys applied, {} of them more than once", applied.len(), twice.len()));
+    case.record.line(format!(
+        "{} keys applied, {} of them more than once",
+        applied.len(),
+        twice.len()
+    ));
     Ok(twice.is_empty())
 }
 
--- a/review/stand-ins-2/src/bin/case-7.rs
+++ b/review/stand-ins-2/src/bin/case-7.rs
@@ -47,9 +47,19 @@
         }
         sleep_ms(5);
         if statement.write {
-            let value = statement.value.as_bytes().chunks(2).map(|p| u8::from_str_radix(std::str::from_utf8(p).unwrap(), 16).unwrap()).collect::<Vec<u8>>();
+            let value = statement
+                .value
+                .as_bytes()
+                .chunks(2)
+                .map(|p| u8::from_str_radix(std::str::from_utf8(p).unwrap(), 16).unwrap())
+                .collect::<Vec<u8>>();
             let commit = unix_ms();
-            set.log.lock().unwrap().entry(statement.key.clone()).or_default().push((commit, value.clone()));
+            set.log
+                .lock()
+                .unwrap()
+                .entry(statement.key.clone())
+                .or_default()
+                .push((commit, value.clone()));
             connection.stream.write_all(&row(&value, true))?;
             // One in five writes, none of them among the first, loses its connection right behind the whole row.
             if self.trouble && set.writes.fetch_add(1, Ordering::Relaxed) % 5 == 4 {
@@ -60,11 +70,17 @@
             return Ok(true);
         }
         // A server without a check answers from what it has.
-        let position = if self.primary { unix_ms() } else { unix_ms() - LAG_MS };
+        let position = if self.primary {
+            unix_ms()
+        } else {
+            unix_ms() - LAG_MS
+        };
         let value = {
             let log = set.log.lock().unwrap();
             let versions = log.get(&statement.key);
-            versions.and_then(|v| v.iter().rev().find(|(commit, _)| *commit <= position)).map_or(Vec::new(), |(_, v)| v.clone())
+            versions
+                .and_then(|v| v.iter().rev().find(|(commit, _)| *commit <= position))
+                .map_or(Vec::new(), |(_, v)| v.clone())
         };
         let mut out = row(&value, false);
         out.extend(report(self.primary, position, false));
@@ -74,34 +90,83 @@
 }
 
 fn judge(case: &Case) -> Result<bool, String> {
-    let set = Arc::new(Set { record: case.record.clone(), log: Mutex::default(), writes: AtomicU64::new(0) });
-    let member = |name, primary| Arc::new(Member { set: set.clone(), name, primary, trouble: case.trouble });
-    let members = [member("s-1", true), member("s-2", false), member("s-3", false), member("s-4", false)];
-    let targets: Vec<Target> = members.iter().map(|m| Target {
-        uid: m.name.into(), endpoint: start_server(m.clone()), az: "hall".into(), group: 1, state: "up",
-        mode: if m.primary { "read-write" } else { "read-only" }, boot_ms: 0,
-    }).collect();
+    let set = Arc::new(Set {
+        record: case.record.clone(),
+        log: Mutex::default(),
+        writes: AtomicU64::new(0),
+    });
+    let member = |name, primary| {
+        Arc::new(Member {
+            set: set.clone(),
+            name,
+            primary,
+            trouble: case.trouble,
+        })
+    };
+    let members = [
+        member("s-1", true),
+        member("s-2", false),
+        member("s-3", false),
+        member("s-4", false),
+    ];
+    let targets: Vec<Target> = members
+        .iter()
+        .map(|m| Target {
+            uid: m.name.into(),
+            endpoint: start_server(m.clone()),
+            az: "hall".into(),
+            group: 1,
+            state: "up",
+            mode: if m.primary { "read-write" } else { "read-only" },
+            boot_ms: 0,
+        })
+        .collect();
     let discovery = Discovery::start(targets.clone());
-    let gateway = Gateway::start(case, &GatewayFiles {
-        name: "n1", listen: free_address(), discovery: discovery.address, known: list_json(1, &targets), settings: SETTINGS,
-        memory_mb: 128, operator: None,
-    })?;
+    let gateway = Gateway::start(
+        case,
+        &GatewayFiles {
+            name: "n1",
+            listen: free_address(),
+            discovery: discovery.address,
+            known: list_json(1, &targets),
+            settings: SETTINGS,
+            memory_mb: 128,
+            operator: None,
+        },
+    )?;
     let mut client = Client::connect(gateway.address).map_err(|e| e.to_string())?;
     let (mut judged, mut broken) = (0, 0);
     for n in 0..SESSIONS {
         let session = format!("session-{n}-{}", new_id());
         for version in 1..=2u8 {
             let (write_id, read_id) = (new_id(), new_id());
-            let text = write_text(&session, &hex(&[version]), &format!("id={write_id},c=report,t=acme,d=2000,k={},cluster=1", new_id()));
+            let text = write_text(
+                &session,
+                &hex(&[version]),
+                &format!(
+                    "id={write_id},c=report,t=acme,d=2000,k={},cluster=1",
+                    new_id()
+                ),
+            );
             let answer = client.query(&text, 3000);
-            case.record.line(format!("client has for the write id={write_id} of {session}, value {version}: {answer:?}"));
+            case.record.line(format!(
+                "client has for the write id={write_id} of {session}, value {version}: {answer:?}"
+            ));
             if !matches!(answer, Answer::Row(_)) {
                 continue;
             }
             // The read of the same client, on the same connection, behind the answer.
             sleep_ms(20);
-            let answer = client.query(&read_text(&session, &format!("id={read_id},c=own-result,t=acme,d=1500,cluster=1")), 3000);
-            case.record.line(format!("client has for the read id={read_id} of {session}: {answer:?}"));
+            let answer = client.query(
+                &read_text(
+                    &session,
+                    &format!("id={read_id},c=own-result,t=acme,d=1500,cluster=1"),
+                ),
+                3000,
+            );
+            case.record.line(format!(
+                "client has for the read id={read_id} of {session}: {answer:?}"
+            ));
             if let Answer::Row(value) = answer {
                 judged += 1;
                 if value != [version] {
@@ -111,8 +176,12 @@
             }
         }
     }
-    case.record.line(format!("{judged} reads answered with a row, {broken} of them without the session's last write"));
-    if judged < SESSIONS { return Err("too few reads were answered".into()); }
+    case.record.line(format!(
+        "{judged} reads answered with a row, {broken} of them without the session's last write"
+    ));
+    if judged < SESSIONS {
+        return Err("too few reads were answered".into());
+    }
     Ok(broken == 0)
 }
 
--- a/review/stand-ins-2/src/bin/case-9.rs
+++ b/review/stand-ins-2/src/bin/case-9.rs
@@ -58,10 +58,23 @@
         }
         sleep_ms(5);
         if statement.write {
-            let value = statement.value.as_bytes().chunks(2).map(|p| u8::from_str_radix(std::str::from_utf8(p).unwrap(), 16).unwrap()).collect::<Vec<u8>>();
+            let value = statement
+                .value
+                .as_bytes()
+                .chunks(2)
+                .map(|p| u8::from_str_radix(std::str::from_utf8(p).unwrap(), 16).unwrap())
+                .collect::<Vec<u8>>();
             let commit = unix_ms();
-            set.log.lock().unwrap().entry(statement.key.clone()).or_default().push((commit, value.clone()));
-            set.record.line(format!("{} ran the write id={id} of {}, value {value:?}", self.name, statement.key));
+            set.log
+                .lock()
+                .unwrap()
+                .entry(statement.key.clone())
+                .or_default()
+                .push((commit, value.clone()));
+            set.record.line(format!(
+                "{} ran the write id={id} of {}, value {value:?}",
+                self.name, statement.key
+            ));
             if set.armed.swap(false, Ordering::SeqCst) {
                 set.record.line("n1 is cut off from the primary");
                 set.cut.store(true, Ordering::SeqCst);
@@ -71,13 +84,22 @@
             connection.stream.write_all(&out)?;
             return Ok(true);
         }
-        let position = if self.primary { unix_ms() } else { unix_ms() - LAG_MS };
+        let position = if self.primary {
+            unix_ms()
+        } else {
+            unix_ms() - LAG_MS
+        };
         let value = {
             let log = set.log.lock().unwrap();
             let versions = log.get(&statement.key);
-            versions.and_then(|v| v.iter().rev().find(|(commit, _)| *commit <= position)).map_or(Vec::new(), |(_, v)| v.clone())
+            versions
+                .and_then(|v| v.iter().rev().find(|(commit, _)| *commit <= position))
+                .map_or(Vec::new(), |(_, v)| v.clone())
         };
-        set.record.line(format!("{} ran the read id={id} of {}, value {value:?}", self.name, statement.key));
+        set.record.line(format!(
+            "{} ran the read id={id} of {}, value {value:?}",
+            self.name, statement.key
+        ));
         let mut out = row(&value, false);
         out.extend(report(self.primary, position, false));
         connection.stream.write_all(&out)?;
@@ -91,15 +113,24 @@
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let Ok(other) = TcpStream::connect(to) else { continue };
-            for (mut from, mut to) in [(stream.try_clone().unwrap(), other.try_clone().unwrap()), (other, stream)] {
+            let Ok(other) = TcpStream::connect(to) else {
+                continue;
+            };
+            for (mut from, mut to) in [
+                (stream.try_clone().unwrap(), other.try_clone().unwrap()),
+                (other, stream),
+            ] {
                 let cut = cut.clone();
                 let _ = to.set_nodelay(true);
                 thread::spawn(move || {
                     let mut part = [0; 4096];
                     while let Ok(n) = from.read(&mut part) {
-                        while cut.load(Ordering::SeqCst) { sleep_ms(1); }
-                        if n == 0 || to.write_all(&part[..n]).is_err() { break; }
+                        while cut.load(Ordering::SeqCst) {
+                            sleep_ms(1);
+                        }
+                        if n == 0 || to.write_all(&part[..n]).is_err() {
+                            break;
+                        }
                     }
                     let _ = to.shutdown(std::net::Shutdown::Both);
                 });
@@ -110,21 +141,52 @@
 }
 
 fn judge(case: &Case) -> Result<bool, String> {
-    let set = Arc::new(Set { record: case.record.clone(), log: Mutex::default(), cut: Arc::default(), armed: AtomicBool::new(false) });
-    let member = |name, primary| Arc::new(Member { set: set.clone(), name, primary });
-    let members = [member("s-1", true), member("s-2", false), member("s-3", false)];
-    let direct: Vec<Target> = members.iter().map(|m| Target {
-        uid: m.name.into(), endpoint: start_server(m.clone()), az: if m.primary { "east" } else { "north" }.into(), group: 1, state: "up",
-        mode: if m.primary { "read-write" } else { "read-only" }, boot_ms: 0,
-    }).collect();
+    let set = Arc::new(Set {
+        record: case.record.clone(),
+        log: Mutex::default(),
+        cut: Arc::default(),
+        armed: AtomicBool::new(false),
+    });
+    let member = |name, primary| {
+        Arc::new(Member {
+            set: set.clone(),
+            name,
+            primary,
+        })
+    };
+    let members = [
+        member("s-1", true),
+        member("s-2", false),
+        member("s-3", false),
+    ];
+    let direct: Vec<Target> = members
+        .iter()
+        .map(|m| Target {
+            uid: m.name.into(),
+            endpoint: start_server(m.clone()),
+            az: if m.primary { "east" } else { "north" }.into(),
+            group: 1,
+            state: "up",
+            mode: if m.primary { "read-write" } else { "read-only" },
+            boot_ms: 0,
+        })
+        .collect();
     let mut linked = direct.clone();
     linked[0].endpoint = link(direct[0].endpoint, set.cut.clone());
     let start = |name: &str, me: &str, targets: &[Target]| -> Result<Gateway, String> {
         let discovery = Discovery::start(targets.to_vec());
-        Gateway::start(case, &GatewayFiles {
-            name, listen: free_address(), discovery: discovery.address, known: list_json(1, targets), settings: &SETTINGS.replace("ME", me),
-            memory_mb: 128, operator: Some(OPERATOR.into()),
-        })
+        Gateway::start(
+            case,
+            &GatewayFiles {
+                name,
+                listen: free_address(),
+                discovery: discovery.address,
+                known: list_json(1, targets),
+                settings: &SETTINGS.replace("ME", me),
+                memory_mb: 128,
+                operator: Some(OPERATOR.into()),
+            },
+        )
     };
     let (n1, n2) = (start("n1", "0", &linked)?, start("n2", "1", &direct)?);
     let client = |e: io::Error| format!("client: {e}");
@@ -133,7 +195,11 @@
         let session = format!("session-{n}-{}", new_id());
         let write = |value: u8| {
             let id = new_id();
-            let text = write_text(&session, &hex(&[value]), &format!("id={id},c=report,t=acme,d=3000,k={},cluster=1", new_id()));
+            let text = write_text(
+                &session,
+                &hex(&[value]),
+                &format!("id={id},c=report,t=acme,d=3000,k={},cluster=1", new_id()),
+            );
             (id, text)
         };
         // The session writes at n1, whose way to the primary is cut when the write has run.
@@ -142,26 +208,41 @@
         let mut at_n1 = Client::connect(n1.address).map_err(client)?;
         let sent = unix_ms();
         let answer = at_n1.query(&text, GIVES_UP_MS);
-        case.record.line(format!("client has from n1 for the write id={id} of {session}: {answer:?}"));
+        case.record.line(format!(
+            "client has from n1 for the write id={id} of {session}: {answer:?}"
+        ));
         // It gives the try up, and its front takes it to n2.
         sleep_ms(GIVES_UP_MS.saturating_sub((unix_ms() - sent) as u64));
         drop(at_n1);
-        case.record.line("client closes its connection to n1 and goes to n2");
+        case.record
+            .line("client closes its connection to n1 and goes to n2");
         sleep_ms(340);
         let (id, text) = write(2);
         let mut at_n2 = Client::connect(n2.address).map_err(client)?;
         let answer = at_n2.query(&text, 3500);
-        case.record.line(format!("client has from n2 for the write id={id} of {session}: {answer:?}"));
+        case.record.line(format!(
+            "client has from n2 for the write id={id} of {session}: {answer:?}"
+        ));
         if set.cut.swap(false, Ordering::SeqCst) {
             case.record.line("the way from n1 to the primary is back");
         }
-        if !matches!(answer, Answer::Row(_)) { continue; }
+        if !matches!(answer, Answer::Row(_)) {
+            continue;
+        }
         // Its front takes it back to n1, where it was last 0.38 s ago.
         sleep_ms(30);
         let id = new_id();
         let mut at_n1 = Client::connect(n1.address).map_err(client)?;
-        let answer = at_n1.query(&read_text(&session, &format!("id={id},c=own-result,t=acme,d=1500,cluster=1")), 2500);
-        case.record.line(format!("client has from n1 for the read id={id} of {session}: {answer:?}"));
+        let answer = at_n1.query(
+            &read_text(
+                &session,
+                &format!("id={id},c=own-result,t=acme,d=1500,cluster=1"),
+            ),
+            2500,
+        );
+        case.record.line(format!(
+            "client has from n1 for the read id={id} of {session}: {answer:?}"
+        ));
         if let Answer::Row(value) = answer {
             judged += 1;
             if value != [2] {
@@ -171,8 +252,12 @@
         }
         sleep_ms(300);
     }
-    case.record.line(format!("{judged} reads answered with a row, {broken} of them without the session's last write"));
-    if judged == 0 { return Err("no read was answered".into()); }
+    case.record.line(format!(
+        "{judged} reads answered with a row, {broken} of them without the session's last write"
+    ));
+    if judged == 0 {
+        return Err("no read was answered".into());
+    }
     Ok(broken == 0)
 }
 
--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -14,7 +14,11 @@
 
 /// Unix time in milliseconds, from the clock that all parts of a case read.
 pub fn unix_ms() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros() as f64 / 1000.0
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_micros() as f64
+        / 1000.0
 }
 
 pub fn sleep_ms(ms: u64) {
@@ -27,7 +31,10 @@
 
 impl Record {
     pub fn create(path: &Path) -> Record {
-        Record(Arc::new((Mutex::new(File::create(path).expect("record.txt")), Instant::now())))
+        Record(Arc::new((
+            Mutex::new(File::create(path).expect("record.txt")),
+            Instant::now(),
+        )))
     }
 
     pub fn line(&self, text: impl AsRef<str>) {
@@ -54,11 +61,24 @@
 pub fn main(number: u32, judge: fn(&Case) -> Result<bool, String>) -> ! {
     let root = PathBuf::from(std::env::var("REVIEW_ROOT").expect("REVIEW_ROOT"));
     let record = Record::create(&root.join(format!("review/{number}/record.txt")));
-    let folder = std::env::temp_dir().join(format!("leverpoint-review-{number}-{}", std::process::id()));
+    let folder =
+        std::env::temp_dir().join(format!("leverpoint-review-{number}-{}", std::process::id()));
     let _ = std::fs::create_dir_all(&folder);
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let case = Case { trouble, record: record.clone(), root, folder: folder.clone() };
-    record.line(format!("case {number}, {}", if trouble { "with the disruption" } else { "without the disruption" }));
+    let case = Case {
+        trouble,
+        record: record.clone(),
+        root,
+        folder: folder.clone(),
+    };
+    record.line(format!(
+        "case {number}, {}",
+        if trouble {
+            "with the disruption"
+        } else {
+            "without the disruption"
+        }
+    ));
     let (done, result) = std::sync::mpsc::channel();
     thread::spawn(move || {
         let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| judge(&case)));
@@ -85,7 +105,11 @@
 static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
 fn kill_all() {
-    for child in CHILDREN.lock().unwrap_or_else(|e| e.into_inner()).iter_mut() {
+    for child in CHILDREN
+        .lock()
+        .unwrap_or_else(|e| e.into_inner())
+        .iter_mut()
+    {
         let _ = child.kill();
         let _ = child.wait();
     }
@@ -116,7 +140,10 @@
 
 pub fn list_json(rev: u64, targets: &[Target]) -> String {
     let entries: Vec<String> = targets.iter().map(Target::json).collect();
-    format!("{{\"rev\":{rev},\"all\":true,\"targets\":[{}]}}", entries.join(","))
+    format!(
+        "{{\"rev\":{rev},\"all\":true,\"targets\":[{}]}}",
+        entries.join(",")
+    )
 }
 
 /// The agent: answers a plain call at once, and a watch when there is something newer or its wait is over.
@@ -150,7 +177,10 @@
     }
 }
 
-fn serve_agent(mut stream: TcpStream, list: &(Mutex<(u64, Vec<Target>)>, Condvar)) -> io::Result<()> {
+fn serve_agent(
+    mut stream: TcpStream,
+    list: &(Mutex<(u64, Vec<Target>)>, Condvar),
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut input = Vec::new();
     loop {
@@ -169,13 +199,18 @@
         input.drain(..end);
         let path = head.split(' ').nth(1).unwrap_or("").to_owned();
         let number = |name: &str| -> Option<u64> {
-            path.split(['?', '&']).find_map(|p| p.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+            path.split(['?', '&'])
+                .find_map(|p| p.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
         };
         let mut held = list.0.lock().unwrap();
         if let (Some(index), Some(wait)) = (number("index"), number("wait")) {
             let until = Instant::now() + Duration::from_millis(wait.min(60_000));
             while held.0 <= index && Instant::now() < until {
-                held = list.1.wait_timeout(held, until.saturating_duration_since(Instant::now())).unwrap().0;
+                held = list
+                    .1
+                    .wait_timeout(held, until.saturating_duration_since(Instant::now()))
+                    .unwrap()
+                    .0;
             }
             if held.0 <= index {
                 let body = format!("{{\"rev\":{},\"all\":false,\"targets\":[]}}", held.0);
@@ -191,7 +226,10 @@
 }
 
 fn answer_http(stream: &mut TcpStream, body: &str) -> io::Result<()> {
-    let head = format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n", body.len());
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
     stream.write_all((head + body).as_bytes())
 }
 
@@ -227,11 +265,18 @@
             return None;
         }
         let comment = text.split("/* ").nth(1)?.strip_suffix(" */")?;
-        let fields = comment.split(',').filter_map(|f| f.split_once('=')).map(|(n, v)| (n.to_owned(), v.to_owned()));
+        let fields = comment
+            .split(',')
+            .filter_map(|f| f.split_once('='))
+            .map(|(n, v)| (n.to_owned(), v.to_owned()));
         Some(Statement {
             write,
             key: quoted.get(1)?.to_string(),
-            value: if write { quoted.get(3)?.strip_prefix("\\x")?.to_owned() } else { String::new() },
+            value: if write {
+                quoted.get(3)?.strip_prefix("\\x")?.to_owned()
+            } else {
+                String::new()
+            },
             fields: fields.collect(),
             ..Statement::default()
         })
@@ -269,22 +314,40 @@
     let mut out = Vec::new();
     let mut description = vec![0, 1];
     description.extend_from_slice(b"v\0");
-    description.extend_from_slice(&[0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 255, 255, 255, 255, 255, 255, 0, 1]);
+    description.extend_from_slice(&[
+        0, 0, 0, 0, 0, 0, 0, 0, 0, 17, 255, 255, 255, 255, 255, 255, 0, 1,
+    ]);
     message(&mut out, b'T', &description);
     let mut data = vec![0, 1];
     data.extend_from_slice(&(value.len() as u32).to_be_bytes());
     data.extend_from_slice(value);
     message(&mut out, b'D', &data);
-    message(&mut out, b'C', if write { b"INSERT 0 1\0" } else { b"SELECT 1\0" });
+    message(
+        &mut out,
+        b'C',
+        if write {
+            b"INSERT 0 1\0"
+        } else {
+            b"SELECT 1\0"
+        },
+    );
     out
 }
 
 /// The role and position, and ReadyForQuery.
 pub fn report(primary: bool, position: f64, write: bool) -> Vec<u8> {
     let mut out = Vec::new();
-    parameter(&mut out, "mode", if primary { "read-write" } else { "read-only" });
+    parameter(
+        &mut out,
+        "mode",
+        if primary { "read-write" } else { "read-only" },
+    );
     // Positions are rounded down, commits up.
-    let position = if write { position.ceil() } else { position.floor() };
+    let position = if write {
+        position.ceil()
+    } else {
+        position.floor()
+    };
     parameter(&mut out, "wal_time", &format!("{position:.0}"));
     message(&mut out, b'Z', b"I");
     out
@@ -292,7 +355,11 @@
 
 pub fn error(code: &str) -> Vec<u8> {
     let mut out = Vec::new();
-    message(&mut out, b'E', format!("SERROR\0C{code}\0Mstand-in\0\0").as_bytes());
+    message(
+        &mut out,
+        b'E',
+        format!("SERROR\0C{code}\0Mstand-in\0\0").as_bytes(),
+    );
     out
 }
 
@@ -308,7 +375,15 @@
 pub fn start_server(database: Arc<dyn Database>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     // SOL_SOCKET and SO_RCVBUF of Linux; accepted sockets inherit the size.
-    unsafe { setsockopt(std::os::fd::AsRawFd::as_raw_fd(&listener), 1, 8, &RECEIVE_BUFFER, 4) };
+    unsafe {
+        setsockopt(
+            std::os::fd::AsRawFd::as_raw_fd(&listener),
+            1,
+            8,
+            &RECEIVE_BUFFER,
+            4,
+        )
+    };
     let address = listener.local_addr().unwrap();
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -322,7 +397,11 @@
 }
 
 /// Reads more bytes; returns how many had come at the end of a hang, if the server hung.
-fn read_some(stream: &mut TcpStream, input: &mut Vec<u8>, database: &dyn Database) -> io::Result<Option<usize>> {
+fn read_some(
+    stream: &mut TcpStream,
+    input: &mut Vec<u8>,
+    database: &dyn Database,
+) -> io::Result<Option<usize>> {
     let mut part = [0; 4096];
     database.gate();
     // Waits for bytes and leaves them where they are: a process that hangs sees them only at the end of its hang.
@@ -343,7 +422,9 @@
     stream.set_nodelay(true)?;
     database.on_accept();
     let mut input = Vec::new();
-    while input.len() < 4 || input.len() < u32::from_be_bytes(input[..4].try_into().unwrap()) as usize {
+    while input.len() < 4
+        || input.len() < u32::from_be_bytes(input[..4].try_into().unwrap()) as usize
+    {
         read_some(&mut stream, &mut input, database)?;
     }
     let length = u32::from_be_bytes(input[..4].try_into().unwrap()) as usize;
@@ -354,7 +435,11 @@
     stream.write_all(&out)?;
     let mut connection = ServerConnection { stream };
     loop {
-        let mut first_byte = if input.is_empty() { None } else { Some(unix_ms()) };
+        let mut first_byte = if input.is_empty() {
+            None
+        } else {
+            Some(unix_ms())
+        };
         let mut come_at_hang_end = None;
         let whole = loop {
             if input.len() >= 5 {
@@ -417,14 +502,20 @@
 /// The field with this letter of an error or a notice.
 fn field(body: &[u8], tag: u8) -> String {
     let mut fields = body.split(|b| *b == 0).filter(|f| f.first() == Some(&tag));
-    fields.next().map_or(String::new(), |f| String::from_utf8_lossy(&f[1..]).into_owned())
+    fields.next().map_or(String::new(), |f| {
+        String::from_utf8_lossy(&f[1..]).into_owned()
+    })
 }
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
 /// A new id, as every request carries one.
 pub fn new_id() -> String {
-    format!("{:08x}{:08x}", std::process::id(), NEXT_ID.fetch_add(1, Ordering::Relaxed))
+    format!(
+        "{:08x}{:08x}",
+        std::process::id(),
+        NEXT_ID.fetch_add(1, Ordering::Relaxed)
+    )
 }
 
 impl Client {
@@ -432,7 +523,11 @@
         let stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_secs(5)))?;
-        let mut client = Client { stream, input: Vec::new(), notice: None };
+        let mut client = Client {
+            stream,
+            input: Vec::new(),
+            notice: None,
+        };
         let mut body = 196_608u32.to_be_bytes().to_vec();
         body.extend_from_slice(b"user\0svc\0database\0main\0\0");
         let mut out = (body.len() as u32 + 4).to_be_bytes().to_vec();
@@ -470,14 +565,18 @@
 
     /// Waits for the answer of the statement sent last, for `ms` between two messages at most.
     pub fn answer(&mut self, ms: u64) -> Answer {
-        let _ = self.stream.set_read_timeout(Some(Duration::from_millis(ms)));
+        let _ = self
+            .stream
+            .set_read_timeout(Some(Duration::from_millis(ms)));
         let (mut value, mut complete, mut failure) = (None, false, None);
         loop {
             match self.next_message() {
                 Ok((b'D', body)) => value = Some(body[6..].to_vec()),
                 Ok((b'C' | b'I', _)) => complete = true,
                 Ok((b'N', body)) => self.notice = Some(field(&body, b'D')),
-                Ok((b'E', body)) => failure = Some(Answer::Error(field(&body, b'C'), field(&body, b'M'))),
+                Ok((b'E', body)) => {
+                    failure = Some(Answer::Error(field(&body, b'C'), field(&body, b'M')))
+                }
                 Ok((b'Z', _)) => {
                     return match (failure, value) {
                         (Some(failure), _) => failure,
@@ -487,7 +586,14 @@
                     };
                 }
                 Ok(_) => {}
-                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => return Answer::Nothing,
+                Err(e)
+                    if matches!(
+                        e.kind(),
+                        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+                    ) =>
+                {
+                    return Answer::Nothing
+                }
                 Err(_) => return failure.unwrap_or(Answer::Ended),
             }
         }
@@ -517,7 +623,10 @@
 
 /// A port that was free a moment ago.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
 }
 
 /// A gateway as a process of its own, started with `run` of the deploy file.
@@ -539,9 +648,17 @@
 
 impl Gateway {
     pub fn start(case: &Case, files: &GatewayFiles<'_>) -> Result<Gateway, String> {
-        let deploy = std::fs::read_to_string(case.root.join("deploy/balancer.toml")).map_err(|e| e.to_string())?;
-        let run = deploy.lines().find_map(|l| l.strip_prefix("run = \"")?.split('"').next()).ok_or("no run")?;
-        let folder = case.folder.join(format!("{}-{}", files.name, NEXT_ID.fetch_add(1, Ordering::Relaxed)));
+        let deploy = std::fs::read_to_string(case.root.join("deploy/balancer.toml"))
+            .map_err(|e| e.to_string())?;
+        let run = deploy
+            .lines()
+            .find_map(|l| l.strip_prefix("run = \"")?.split('"').next())
+            .ok_or("no run")?;
+        let folder = case.folder.join(format!(
+            "{}-{}",
+            files.name,
+            NEXT_ID.fetch_add(1, Ordering::Relaxed)
+        ));
         std::fs::create_dir_all(folder.join("tmp")).map_err(|e| e.to_string())?;
         let config = folder.join("config.json");
         let text = format!(
@@ -558,7 +675,12 @@
         let log = File::create(folder.join("log.txt")).map_err(|e| e.to_string())?;
         let mut command = Command::new("/bin/sh");
         // PR_SET_PDEATHSIG, SIGKILL: the gateway ends with the case, also where the case is killed.
-        unsafe { std::os::unix::process::CommandExt::pre_exec(&mut command, || { prctl(1, 9u64); Ok(()) }) };
+        unsafe {
+            std::os::unix::process::CommandExt::pre_exec(&mut command, || {
+                prctl(1, 9u64);
+                Ok(())
+            })
+        };
         let child = command
             .arg("-c")
             .arg(&command_line)
@@ -575,13 +697,17 @@
             .map_err(|e| e.to_string())?;
         let pid = child.id();
         CHILDREN.lock().unwrap().push(child);
-        case.record.line(format!("gateway {} started: {command_line}", files.name));
+        case.record
+            .line(format!("gateway {} started: {command_line}", files.name));
         let until = Instant::now() + Duration::from_secs(20);
         while Instant::now() < until {
             if let Ok(mut client) = Client::connect(files.listen) {
                 if client.query("", 3000) == Answer::Row(Vec::new()) {
                     case.record.line(format!("gateway {} is ready", files.name));
-                    return Ok(Gateway { address: files.listen, pid });
+                    return Ok(Gateway {
+                        address: files.listen,
+                        pid,
+                    });
                 }
             }
             sleep_ms(20);
@@ -592,7 +718,10 @@
 
     /// Sends a signal by name, as the shell's kill does.
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {}", self.pid)).status();
+        let _ = Command::new("/bin/sh")
+            .arg("-c")
+            .arg(format!("kill -{name} {}", self.pid))
+            .status();
     }
 
     /// Waits for the end of the process.
