Log: attempts that fail with number and time, statements written slowly

The second attempt was answered by the server or timed out, and no line said when an attempt began or when its last byte was written. Four explanations fitted: the attempt began after the deduplication window; it began inside and was completed after it; the first attempt's bytes came late; a statement was sent again below the pool.

Change: `attempt failed` has the number of the attempt and its duration; `statement written slowly` says which attempt took over 50 ms from its first byte to the last one that this system has taken.

--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -5,11 +5,12 @@
 use std::rc::Rc;
 
 use leverpoint_routing::api::{AttemptOutcome, Ticks};
-use leverpoint_runtime::{Instant, now};
+use leverpoint_runtime::{Instant, now, since};
 use tokio::sync::Notify;
 
 use crate::attempt_error::{AttemptError, Cause, Progress};
 use crate::client_connections::ClientConnection;
+use crate::diagnostics::WrittenStatement;
 use crate::engine::{AttemptReport, Engine, EngineEvent};
 use crate::latch::Latch;
 use crate::request::{FinalAnswer, Row, Statement};
@@ -245,6 +246,23 @@
         self.engine.endpoints.replacements(self.server) == Some(self.server_replacements)
     }
 
+    /// Records that the statement, whose first byte was written at `begun_at`, was written whole.
+    pub fn on_statement_written(&self, begun_at: Instant) {
+        self.progress.set(Progress::Written);
+        let (AttemptKind::Request { request, number }, Some(statement)) =
+            (self.kind, &self.statement)
+        else {
+            return;
+        };
+        let written = WrittenStatement {
+            server: self.server,
+            attempt: number,
+            bytes: statement.text.len(),
+            took: since(begun_at),
+        };
+        self.engine.on_statement_written(request, &written);
+    }
+
     /// Logs that the server has sent an earlier statement's answer a second time, which was taken for no other.
     pub fn on_copy_discarded(&self) {
         let engine = &self.engine;
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use crate::attempt::{Attempt, AttemptKind, AttemptRequest, AttemptServer, ReportedParameters};
+use crate::diagnostics::WrittenStatement;
 use crate::engine::{AttemptReport, Engine};
 use crate::metrics::increment;
 use crate::replicated_state::WriteOutcome;
@@ -90,7 +91,7 @@
         open.usage.attempts_in_flight -= 1;
         open.attempts.finish(report.number);
         self.diagnostics
-            .on_attempt_finished(&self.log, now, open, report.server, report.outcome);
+            .on_attempt_finished(&self.log, now, open, report);
         if answered {
             open.mark_finished();
         }
@@ -122,6 +123,15 @@
         })
     }
 
+    /// Records that the statement of a request's attempt was written whole.
+    pub(crate) fn on_statement_written(&self, request: usize, written: &WrittenStatement) {
+        let mut requests = self.requests.borrow_mut();
+        if let Some(open) = requests.get_mut(request) {
+            self.diagnostics
+                .on_statement_written(&self.log, self.clock.now(), open, written);
+        }
+    }
+
     /// Marks the request of a disconnected client as finished; returns none if it was finished already.
     pub(crate) fn close_disconnected(&self, request: usize) -> Option<()> {
         let mut requests = self.requests.borrow_mut();
--- a/crates/engine/src/diagnostics.rs
+++ b/crates/engine/src/diagnostics.rs
@@ -9,7 +9,7 @@
 
 use leverpoint_routing::api::{AttemptOutcome, Ticks};
 
-use crate::engine::TICKS_PER_MS;
+use crate::engine::{AttemptReport, TICKS_PER_MS};
 use crate::log_line_limiter::LogLineLimiter;
 use crate::metrics::increment;
 use crate::request::FinalAnswer;
@@ -58,10 +58,24 @@
     pub late: Duration,
 }
 
+/// A statement that was written whole to a server's connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WrittenStatement {
+    /// Index of the server.
+    pub(crate) server: usize,
+    /// Number of the attempt within its request, from 0.
+    pub(crate) attempt: u32,
+    /// Length of the statement's text.
+    pub(crate) bytes: usize,
+    /// Time from its first byte to the last one that this system has taken.
+    pub(crate) took: Duration,
+}
+
 /// Limiters of the log lines, and counters.
 #[derive(Default)]
 pub struct Diagnostics {
     attempt_limiter: LogLineLimiter,
+    statement_limiter: LogLineLimiter,
     unanswered_limiter: LogLineLimiter,
     late_limiter: LogLineLimiter,
     delay_limiter: LogLineLimiter,
@@ -95,15 +109,33 @@
         log: &slog::Logger,
         now: Ticks,
         open: &OpenRequest,
-        server: usize,
-        outcome: AttemptOutcome,
+        report: &AttemptReport,
     ) {
-        if outcome == AttemptOutcome::Answered {
+        if report.outcome == AttemptOutcome::Answered {
             return;
         }
         if let Some(left_out) = self.attempt_limiter.admit(now) {
-            slog::info!(log, "attempt failed"; "id" => &*open.id, "server" => server, "outcome" => format!("{outcome:?}"),
-                "request_finished" => open.usage.finished, "left_out" => left_out);
+            slog::info!(log, "attempt failed"; "id" => &*open.id, "server" => report.server,
+                "outcome" => format!("{:?}", report.outcome), "attempt" => report.number,
+                "ms" => report.elapsed as u64 / TICKS_PER_MS, "request_finished" => open.usage.finished,
+                "left_out" => left_out);
+        }
+    }
+
+    /// Records that a statement was written; logs one whose server took its bytes slowly.
+    pub(crate) fn on_statement_written(
+        &self,
+        log: &slog::Logger,
+        now: Ticks,
+        open: &OpenRequest,
+        written: &WrittenStatement,
+    ) {
+        if written.took < LOGGED_DELAY {
+            return;
+        }
+        if let Some(left_out) = self.statement_limiter.admit(now) {
+            slog::info!(log, "statement written slowly"; "id" => &*open.id, "server" => written.server,
+                "attempt" => written.attempt, "bytes" => written.bytes, "ms" => as_ms(written.took), "left_out" => left_out);
         }
     }
 
--- a/crates/gateway/src/server/pool.rs
+++ b/crates/gateway/src/server/pool.rs
@@ -104,7 +104,6 @@
             // The server does not execute a statement that was sent incompletely.
             () = attempt.request_finished() => return Err(attempt.error(Cause::NoLongerNeeded)),
         };
-        attempt.progress.set(Progress::Written);
         let answer = connection
             .read_answer(attempt, &self.client_connections)
             .await?;
@@ -142,14 +141,17 @@
                 self.keep_idle(attempt, connection);
                 return Err(attempt.error(Cause::NoLongerNeeded));
             }
-            let written = Cell::new(0);
+            let (written, begun_at) = (Cell::new(0), now());
             match connection.write_statement(attempt, &written).await {
                 // Bytes received this early were sent before the server received the statement: they are no answer to it.
                 Ok(()) if reused && !connection.has_no_input() => {
-                    attempt.progress.set(Progress::Written);
+                    attempt.on_statement_written(begun_at);
                     return Err(attempt.error(Cause::ProtocolViolation));
                 }
-                Ok(()) => return Ok(connection),
+                Ok(()) => {
+                    attempt.on_statement_written(begun_at);
+                    return Ok(connection);
+                }
                 Err(_) if reused && written.get() == 0 => {}
                 Err(_) => return Err(attempt.error(Cause::ConnectionBroken)),
             }
