Retries: a keyed retry that has not arrived whole when its window ends is withdrawn

Cause: the end of the key's window was held against an attempt's first byte alone (`Attempt::may_start`), while a server executes a statement when its last byte arrives. The second attempt began inside the window, the hung server took 28 KiB of it, and the gateway wrote the rest when the server read again. The same holds for what stands in the send buffer of the gateway's system: it arrives after the window, and after an attempt that is given up by a plain close.

Change: `RetryPolicy::latest_start` becomes `latest_arrival`, and an attempt keeps that time to its end. When it comes, `statement_delivery` decides by the attempt's progress and the unacknowledged bytes; what has not been acknowledged whole is withdrawn by a reset, upon which the kernel discards the rest. A server connection that is dropped with unacknowledged bytes is reset as well. A request whose window ends while its retry connects is answered then.

Why it works: bytes that were never handed to the kernel can't arrive, and acknowledged ones have arrived. What lies between counts as possibly executed and has no rest left to come.

--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -1,20 +1,22 @@
 //! An attempt of a request on one server, and the interface of the component that executes it.
 
 use std::cell::{Cell, RefCell};
+use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use leverpoint_routing::api::{AttemptOutcome, Ticks};
-use leverpoint_runtime::{Instant, now, since};
+use leverpoint_runtime::{Instant, now, since, sleep_until};
 use tokio::sync::Notify;
 
 use crate::attempt_error::{AttemptError, Cause, Progress};
 use crate::client_connections::ClientConnection;
-use crate::diagnostics::WrittenStatement;
+use crate::diagnostics::{WithdrawnStatement, WrittenStatement};
 use crate::engine::{AttemptReport, Engine, EngineEvent};
 use crate::latch::Latch;
 use crate::request::{FinalAnswer, Row, Statement};
 use crate::session_consistency::{RequestSession, SessionConsistency};
+use crate::statement_delivery::Delivery;
 
 /// Executes attempts on servers.
 ///
@@ -66,8 +68,8 @@
     pub(crate) session: Option<RequestSession>,
     /// Set when the request is finished.
     pub(crate) finished: Rc<Latch>,
-    /// Latest time at which the attempt may start.
-    pub(crate) start_by: Ticks,
+    /// Latest time at which the statement's last byte may arrive.
+    pub(crate) arrive_by: Ticks,
 }
 
 /// The server of an attempt, as listed when the router chose it.
@@ -100,8 +102,8 @@
     pub timeout: Ticks,
     /// When the attempt times out: `timeout` after it was created.
     pub deadline: Instant,
-    /// Latest time at which the attempt may start.
-    start_by: Instant,
+    /// Latest time at which the statement's last byte may arrive, if that is before the deadline.
+    arrive_by: Option<Instant>,
     /// How often the server had been replaced when the router chose it.
     server_replacements: u64,
     /// Set when the request is finished; never set for a probe.
@@ -131,7 +133,9 @@
         let started_at = clock.now();
         let deadline = clock.instant(started_at + timeout);
         let request = request.as_ref();
-        let start_by = request.map_or(deadline, |r| deadline.min(clock.instant(r.start_by)));
+        let arrive_by = request
+            .map(|r| clock.instant(r.arrive_by))
+            .filter(|arrive_by| *arrive_by < deadline);
         Attempt {
             kind,
             started_at,
@@ -142,7 +146,7 @@
             client: request.map(|r| r.client.clone()),
             timeout,
             deadline,
-            start_by,
+            arrive_by,
             server_replacements: server.replacements,
             request_finished: request.map(|r| r.finished.clone()).unwrap_or_default(),
             cancelled,
@@ -228,11 +232,11 @@
     }
 
     /// Whether the attempt may still start, to be checked right before its first byte is sent: its request is open and
-    /// the client connected, the server's listing is unchanged, the endpoint list's lease is valid, and `start_by` has
-    /// not passed.
+    /// the client connected, the server's listing is unchanged, the endpoint list's lease is valid, and the time
+    /// by which the statement must arrive has not passed.
     pub fn may_start(&self) -> bool {
         !self.request_finished.is_set()
-            && now() <= self.start_by
+            && now() <= self.arrive_by.unwrap_or(self.deadline)
             && self
                 .client
                 .as_ref()
@@ -241,6 +245,34 @@
             && !self.engine.is_endpoint_list_expired()
     }
 
+    /// Waits until the statement must have arrived whole; never returns where the attempt's own deadline comes first.
+    pub async fn arrival_deadline(&self) {
+        match self.arrive_by {
+            Some(arrive_by) => sleep_until(arrive_by).await,
+            None => pending().await,
+        }
+    }
+
+    /// How far the statement has come, where `unacknowledged_bytes` of what was written are not acknowledged.
+    pub fn delivery(&self, unacknowledged_bytes: usize) -> Delivery {
+        Delivery::new(self.progress.get(), unacknowledged_bytes)
+    }
+
+    /// Logs that the statement is withdrawn from its server, as it has not arrived whole in time, and returns the error
+    /// with which the attempt ends.
+    pub fn on_arrival_timed_out(&self) -> AttemptError {
+        let error = self.error(Cause::ArrivalTimedOut);
+        if let AttemptKind::Request { request, number } = self.kind {
+            let withdrawn = WithdrawnStatement {
+                server: self.server,
+                attempt: number,
+                progress: error.progress,
+            };
+            self.engine.on_statement_withdrawn(request, &withdrawn);
+        }
+        error
+    }
+
     /// Whether the server has not drained, moved, restarted or gone since the router chose it.
     pub fn is_server_unchanged(&self) -> bool {
         self.engine.endpoints.replacements(self.server) == Some(self.server_replacements)
--- a/crates/engine/src/attempt_error.rs
+++ b/crates/engine/src/attempt_error.rs
@@ -25,6 +25,8 @@
     ProtocolViolation,
     /// The attempt's timeout passed.
     TimedOut,
+    /// The statement had not arrived whole when its deduplication window ended, see `statement_delivery`.
+    ArrivalTimedOut,
     /// The answer arrives too slowly to be complete by the attempt's deadline.
     TooSlow,
     /// The router cancelled the attempt.
@@ -51,14 +53,17 @@
     #[must_use]
     pub fn outcome(self) -> AttemptOutcome {
         match (self.progress < Progress::Written, self.cause) {
-            (true, Cause::NoConnectionPossible | Cause::NoLongerNeeded) => AttemptOutcome::NotSent,
+            (
+                true,
+                Cause::NoConnectionPossible | Cause::NoLongerNeeded | Cause::ArrivalTimedOut,
+            ) => AttemptOutcome::NotSent,
             (_, Cause::Cancelled) => AttemptOutcome::Cancelled,
             (true, Cause::ConnectionRejected) => AttemptOutcome::Overloaded,
             (true, _) => AttemptOutcome::NotConnected,
             (false, Cause::TimedOut) if failpoint_active("time-out-never-ran") => {
                 AttemptOutcome::NotSent
             }
-            (false, Cause::TimedOut) => AttemptOutcome::TimedOut,
+            (false, Cause::TimedOut | Cause::ArrivalTimedOut) => AttemptOutcome::TimedOut,
             (false, _) if failpoint_active("reset-never-ran") => AttemptOutcome::NotConnected,
             (false, _) => AttemptOutcome::Reset,
         }
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Notify;
 
 use crate::attempt::{Attempt, AttemptKind, AttemptRequest, AttemptServer, ReportedParameters};
-use crate::diagnostics::WrittenStatement;
+use crate::diagnostics::{WithdrawnStatement, WrittenStatement};
 use crate::engine::{AttemptReport, Engine};
 use crate::metrics::increment;
 use crate::replicated_state::WriteOutcome;
@@ -25,13 +25,13 @@
 const UNKNOWN_ADDRESS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
 
 impl Engine {
-    /// Starts an attempt of a request, unless the request is gone. It must not start after `start_by`.
+    /// Starts an attempt of a request, unless the request is gone. Its statement must arrive whole by `arrive_by`.
     pub(crate) fn start_attempt(
         self: &Rc<Self>,
         request: usize,
         server: usize,
         timeout: Ticks,
-        start_by: Ticks,
+        arrive_by: Ticks,
     ) {
         let mut requests = self.requests.borrow_mut();
         let Some(open) = requests.get_mut(request) else {
@@ -44,7 +44,7 @@
             client: open.client.clone(),
             session: open.session,
             finished: open.finished.clone(),
-            start_by,
+            arrive_by,
         };
         drop(requests);
         let kind = AttemptKind::Request { request, number };
@@ -132,6 +132,15 @@
         }
     }
 
+    /// Records that the statement of a request's attempt is withdrawn from its server.
+    pub(crate) fn on_statement_withdrawn(&self, request: usize, withdrawn: &WithdrawnStatement) {
+        let mut requests = self.requests.borrow_mut();
+        if let Some(open) = requests.get_mut(request) {
+            self.diagnostics
+                .on_statement_withdrawn(&self.log, self.clock.now(), open, withdrawn);
+        }
+    }
+
     /// Marks the request of a disconnected client as finished; returns none if it was finished already.
     pub(crate) fn close_disconnected(&self, request: usize) -> Option<()> {
         let mut requests = self.requests.borrow_mut();
--- a/crates/engine/src/diagnostics.rs
+++ b/crates/engine/src/diagnostics.rs
@@ -9,6 +9,7 @@
 
 use leverpoint_routing::api::{AttemptOutcome, Ticks};
 
+use crate::attempt_error::Progress;
 use crate::engine::{AttemptReport, TICKS_PER_MS};
 use crate::log_line_limiter::LogLineLimiter;
 use crate::metrics::increment;
@@ -71,6 +72,17 @@
     pub(crate) took: Duration,
 }
 
+/// A statement that is withdrawn from its server, as it has not arrived whole in time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WithdrawnStatement {
+    /// Index of the server.
+    pub(crate) server: usize,
+    /// Number of the attempt within its request, from 0.
+    pub(crate) attempt: u32,
+    /// How far the attempt has come.
+    pub(crate) progress: Progress,
+}
+
 /// Limiters of the log lines, and counters.
 #[derive(Default)]
 pub struct Diagnostics {
@@ -139,6 +151,20 @@
         }
     }
 
+    /// Logs a statement that is withdrawn from its server.
+    pub(crate) fn on_statement_withdrawn(
+        &self,
+        log: &slog::Logger,
+        now: Ticks,
+        open: &OpenRequest,
+        withdrawn: &WithdrawnStatement,
+    ) {
+        if let Some(left_out) = self.statement_limiter.admit(now) {
+            slog::info!(log, "statement withdrawn"; "id" => &*open.id, "server" => withdrawn.server,
+                "attempt" => withdrawn.attempt, "progress" => format!("{:?}", withdrawn.progress), "left_out" => left_out);
+        }
+    }
+
     /// Logs a request that ends without a row.
     pub(crate) fn on_unanswered(
         &self,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -332,8 +332,8 @@
                 request,
                 server,
                 timeout,
-                start_by,
-            } => self.start_attempt(request, server, timeout, start_by),
+                arrive_by,
+            } => self.start_attempt(request, server, timeout, arrive_by),
             Action::CancelAttempt { request, attempt } => {
                 if let Some(open) = self.requests.borrow().get(request) {
                     open.attempts.cancel(attempt);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -28,6 +28,7 @@
 mod request;
 mod request_table;
 pub mod session_consistency;
+pub mod statement_delivery;
 mod timers;
 
 /// Bytes that each direction of a connection may buffer without a reservation.
--- a/crates/engine/src/preparation.rs
+++ b/crates/engine/src/preparation.rs
@@ -132,14 +132,14 @@
         match decision {
             WriteDecision::Proceed {
                 first_attempt_at,
-                start_by,
+                arrive_by,
             } => {
                 let request = &mut preparing.request;
                 request.first_attempt_elsewhere = first_attempt_at;
                 // Subtracts a batch interval as a margin, as the router does for its own deduplication windows.
                 let margin = self.settings.routing.batch_interval;
-                if let Some(start_by) = start_by {
-                    request.deadline = request.deadline.min(start_by - margin);
+                if let Some(arrive_by) = arrive_by {
+                    request.deadline = request.deadline.min(arrive_by - margin);
                 }
                 self.route(preparing, None);
             }
--- a/crates/engine/src/replicated_state.rs
+++ b/crates/engine/src/replicated_state.rs
@@ -13,8 +13,8 @@
     Proceed {
         /// When a write with the same idempotency key was first attempted through another gateway; none if it was not.
         first_attempt_at: Option<Ticks>,
-        /// Latest time at which the write may be attempted; none if there is no limit.
-        start_by: Option<Ticks>,
+        /// Latest time at which the write may arrive at a server; none if there is no limit.
+        arrive_by: Option<Ticks>,
     },
     /// The write may have been executed through another gateway and must not be attempted again.
     PossiblyExecuted,
--- a/crates/gateway/src/io/connection.rs
+++ b/crates/gateway/src/io/connection.rs
@@ -92,6 +92,11 @@
         self.stream.downgrade()
     }
 
+    /// Returns how many of the bytes written the peer has not acknowledged; 0 if that is unknown.
+    pub(crate) fn unacknowledged_bytes(&self) -> usize {
+        self.stream.unacknowledged_bytes()
+    }
+
     /// Makes the connection end with a reset when it is dropped; unsent bytes are discarded.
     pub(crate) fn reset_on_drop(&self) {
         self.stream.reset_on_drop();
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -268,20 +268,20 @@
         let arrived_at = self.runtime.now();
         let window = claim.map(|claim| claim.deduplication_window);
         let clock_skew = self.clock_skew;
-        // A retry must start within the deduplication window, even if the first attempt was timed by a clock that is
+        // A retry must arrive within the deduplication window, even if the first attempt was timed by a clock that is
         // ahead.
-        let latest_start = move |first: Ticks| window.map(|window| first + window - clock_skew);
+        let latest_arrival = move |first: Ticks| window.map(|window| first + window - clock_skew);
         let on_clearance = move |ticket, clearance| {
             let decision = match clearance {
                 WriteClearance::QuorumAcknowledged(IdempotencyDecision::FirstAttempt)
                 | WriteClearance::WithoutQuorum => WriteDecision::Proceed {
                     first_attempt_at: None,
-                    start_by: latest_start(arrived_at),
+                    arrive_by: latest_arrival(arrived_at),
                 },
                 WriteClearance::QuorumAcknowledged(IdempotencyDecision::Retry(first)) => {
                     WriteDecision::Proceed {
                         first_attempt_at: Some(first),
-                        start_by: latest_start(first),
+                        arrive_by: latest_arrival(first),
                     }
                 }
                 WriteClearance::QuorumAcknowledged(IdempotencyDecision::OutcomeUnknown) => {
--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -31,7 +31,11 @@
 }
 
 impl Drop for ServerConnection {
+    /// Whatever has not arrived by now must never arrive: the attempt that wrote it has ended.
     fn drop(&mut self) {
+        if self.socket.unacknowledged_bytes() > 0 {
+            self.socket.reset_on_drop();
+        }
         increment(&self.metrics.servers.closed);
     }
 }
--- a/crates/gateway/src/server/pool.rs
+++ b/crates/gateway/src/server/pool.rs
@@ -7,6 +7,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
+use std::future::pending;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,7 +20,9 @@
 use leverpoint_engine::engine::{Attempt, AttemptExecutor};
 use leverpoint_engine::metrics::{Metrics, increment};
 use leverpoint_routing::api::{AttemptOutcome, Ticks};
-use leverpoint_runtime::{failpoint_active, now, since, sleep, sleep_until, spawn, timeout_at};
+use leverpoint_runtime::{
+    WeakStream, failpoint_active, now, since, sleep, sleep_until, spawn, timeout_at,
+};
 
 use crate::server::answer_reader::Answer;
 use crate::server::connection::ServerConnection;
@@ -100,13 +103,18 @@
     async fn run_on_connection(self: &Rc<Self>, attempt: &Attempt) -> Result<Answer, AttemptError> {
         let mut connection = tokio::select! {
             biased;
+            // First, as the server may have begun to read again at the same moment.
+            () = attempt.arrival_deadline() => return Err(attempt.on_arrival_timed_out()),
             written = self.send_statement(attempt) => written?,
             // The server does not execute a statement that was sent incompletely.
             () = attempt.request_finished() => return Err(attempt.error(Cause::NoLongerNeeded)),
         };
-        let answer = connection
-            .read_answer(attempt, &self.client_connections)
-            .await?;
+        let stream = connection.socket.stream();
+        let answer = tokio::select! {
+            biased;
+            answer = connection.read_answer(attempt, &self.client_connections) => answer?,
+            error = arrival_timeout(attempt, &stream) => return Err(error),
+        };
         if answer.reusable {
             connection.idle_since = now();
             self.keep_idle(attempt, connection);
@@ -235,6 +243,19 @@
     }
 }
 
+/// Waits until the attempt has to be withdrawn, as the statement, which was written to `stream`, has not arrived whole in
+/// time; never returns if it has.
+async fn arrival_timeout(attempt: &Attempt, stream: &WeakStream) -> AttemptError {
+    attempt.arrival_deadline().await;
+    if attempt
+        .delivery(stream.unacknowledged_bytes())
+        .must_be_withdrawn()
+    {
+        return attempt.on_arrival_timed_out();
+    }
+    pending().await
+}
+
 impl AttemptExecutor for ServerPool {
     fn execute(self: Rc<Self>, attempt: Attempt) {
         spawn(self.run(attempt));
--- a/crates/routing/src/api.rs
+++ b/crates/routing/src/api.rs
@@ -209,8 +209,9 @@
 /// An output of the router, which its caller executes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Start an attempt, unless `start_by` has passed: the deadline or the deduplication window
-    /// that permits the attempt is then over.
+    /// Start an attempt, unless `arrive_by` has passed: the deadline or the deduplication window
+    /// that permits the attempt is then over. An attempt whose statement has not arrived whole by
+    /// then must be withdrawn from the server.
     StartAttempt {
         /// Index of the request.
         request: usize,
@@ -218,8 +219,8 @@
         server: usize,
         /// How long to wait for the answer.
         timeout: Ticks,
-        /// Latest time at which it may start.
-        start_by: Ticks,
+        /// Latest time at which the statement's last byte may arrive at the server.
+        arrive_by: Ticks,
     },
     /// Cancel an attempt.
     CancelAttempt {
--- a/crates/routing/src/rejection.rs
+++ b/crates/routing/src/rejection.rs
@@ -15,9 +15,9 @@
     let objective_left = request
         .timing
         .objective_left(class.config.latency_objective, cluster.now);
-    let latest_start = cluster
+    let latest_arrival = cluster
         .retry_policy(request.class)
-        .latest_start(&request.attempts, answer_by(cluster, request));
+        .latest_arrival(&request.attempts, answer_by(cluster, request));
     let min_time = if ends_by_shutdown(cluster, request) {
         half_typical.min(MAX_SHUTDOWN_MARGIN)
     } else {
@@ -27,7 +27,7 @@
         || has_waited_enough(cluster, request)
         || request.attempts.started >= cluster.config.permissions.max_attempts
         || (class.config.late_factor <= 0.0 && objective_left < half_typical)
-        || cluster.now >= latest_start
+        || cluster.now >= latest_arrival
 }
 
 /// Time by which a request has to be answered: its client's deadline, or the gateway's shutdown if
--- a/crates/routing/src/retry_policy.rs
+++ b/crates/routing/src/retry_policy.rs
@@ -22,11 +22,14 @@
         }
     }
 
-    /// Latest time at which another attempt may start without the risk of a second effect.
+    /// Latest time at which the last byte of another attempt may arrive at its server without the
+    /// risk of a second effect.
     ///
-    /// The deduplication window runs from the first attempt that may have executed.
+    /// The deduplication window runs from the first attempt that may have executed. A server
+    /// executes a statement when its last byte arrives, so an attempt that has begun in time is
+    /// not yet permitted.
     #[must_use]
-    pub fn latest_start(&self, attempts: &AttemptHistory, client_deadline: Ticks) -> Ticks {
+    pub fn latest_arrival(&self, attempts: &AttemptHistory, client_deadline: Ticks) -> Ticks {
         match (attempts.possibly_executed, self.idempotency) {
             (None, _) | (_, Idempotency::Idempotent) => client_deadline,
             (_, Idempotency::NonIdempotent) => Ticks::MIN,
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -323,9 +323,9 @@
             to_deadline: rejection::time_left(cluster, request),
         };
         let timeout = class.attempt_timeout(time_left, cluster.replica_hold());
-        let start_by = cluster
+        let arrive_by = cluster
             .retry_policy(request.class)
-            .latest_start(&request.attempts, rejection::answer_by(cluster, request));
+            .latest_arrival(&request.attempts, rejection::answer_by(cluster, request));
         let balance = cluster.warmup_balance(server);
         let state = &mut cluster.servers[server];
         state
@@ -338,7 +338,7 @@
             request: index,
             server,
             timeout,
-            start_by,
+            arrive_by,
         }
     }
 
--- a/crates/routing/tests/retry_policy.rs
+++ b/crates/routing/tests/retry_policy.rs
@@ -36,7 +36,7 @@
         policy_for(Idempotency::NonIdempotent),
         keyed_policy(DeduplicationScope::Zone),
     ] {
-        assert_eq!(policy.latest_start(&rejected, DEADLINE), DEADLINE);
+        assert_eq!(policy.latest_arrival(&rejected, DEADLINE), DEADLINE);
         assert!(policy.permits_zone(&rejected, 0));
         assert!(policy.client_retry_is_harmless(&rejected));
     }
@@ -47,17 +47,17 @@
     let ambiguous = history_after(AttemptOutcome::Reset);
     let keyed = keyed_policy(DeduplicationScope::Set);
     assert_eq!(
-        keyed.latest_start(&ambiguous, DEADLINE),
+        keyed.latest_arrival(&ambiguous, DEADLINE),
         100 + WINDOW - BATCH_INTERVAL
     );
-    assert_eq!(keyed.latest_start(&ambiguous, 5_000), 5_000);
+    assert_eq!(keyed.latest_arrival(&ambiguous, 5_000), 5_000);
 }
 
 #[test]
 fn request_that_is_not_idempotent_is_never_retried_once_it_may_have_executed() {
     let ambiguous = history_after(AttemptOutcome::TimedOut);
     let policy = policy_for(Idempotency::NonIdempotent);
-    assert_eq!(policy.latest_start(&ambiguous, DEADLINE), Ticks::MIN);
+    assert_eq!(policy.latest_arrival(&ambiguous, DEADLINE), Ticks::MIN);
     assert!(!policy.client_retry_is_harmless(&ambiguous));
 }
 
--- a/crates/runtime/src/stream.rs
+++ b/crates/runtime/src/stream.rs
@@ -194,6 +194,14 @@
         }
     }
 
+    /// Returns how many of the bytes written the peer has not acknowledged; 0 if that is unknown.
+    pub fn unacknowledged_bytes(&self) -> usize {
+        match self {
+            Stream::Tcp(stream) => send_queue_bytes(stream),
+            Stream::Simulated(end) => end.unacknowledged_bytes(),
+        }
+    }
+
     /// Returns a weak reference to the connection.
     pub fn downgrade(&self) -> WeakStream {
         match self {
