Disconnects: a statement that has not arrived when its client leaves is withdrawn

What callers saw: a write of 18 KiB stood in the send buffer of the gateway's system, as its server did not read; its client left, and 0.5 s later the server read the whole write and would have run it. An attempt that begins over 0.1 s after its client's disconnect is a lost request.

Cause: the same as of the retry that arrives after its window. That the client is connected was checked right before the first byte, and a statement handed to the kernel was then left to arrive whenever the server reads.

Change: 60 ms after its client has left an attempt asks how far its statement has come. One that is not acknowledged whole is withdrawn by a reset; the attempt ends as cancelled, so it counts as possibly executed and says nothing of the server. The flag for the client's leaving becomes a signal beside the one for the request's end, so that attempts of answered requests are not woken.

Why it works: an acknowledged statement has arrived, and 60 ms are longer than a system usually holds an acknowledgement back (40 ms) and shorter than the 0.1 s. What has not arrived is discarded by the kernel with the reset.

Evidence: `a_statement_that_has_not_arrived_when_its_client_leaves_is_withdrawn` failed before (18,541 bytes read), passes now.

--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -6,17 +6,17 @@
 use std::rc::Rc;
 
 use leverpoint_routing::api::{AttemptOutcome, Ticks};
-use leverpoint_runtime::{Instant, now, since, sleep_until};
+use leverpoint_runtime::{Instant, now, since, sleep, sleep_until};
 use tokio::sync::Notify;
 
 use crate::attempt_error::{AttemptError, Cause, Progress};
 use crate::client_connections::ClientConnection;
 use crate::diagnostics::{WithdrawnStatement, WrittenStatement};
 use crate::engine::{AttemptReport, Engine, EngineEvent};
-use crate::latch::Latch;
 use crate::request::{FinalAnswer, Row, Statement};
+use crate::request_table::EndSignals;
 use crate::session_consistency::{RequestSession, SessionConsistency};
-use crate::statement_delivery::Delivery;
+use crate::statement_delivery::{ARRIVAL_GRACE, Delivery};
 
 /// Executes attempts on servers.
 ///
@@ -66,8 +66,7 @@
     pub(crate) statement: Rc<Statement>,
     pub(crate) client: Rc<ClientConnection>,
     pub(crate) session: Option<RequestSession>,
-    /// Set when the request is finished.
-    pub(crate) finished: Rc<Latch>,
+    pub(crate) end_signals: Rc<EndSignals>,
     /// Latest time at which the statement's last byte may arrive.
     pub(crate) arrive_by: Ticks,
 }
@@ -106,8 +105,8 @@
     arrive_by: Option<Instant>,
     /// How often the server had been replaced when the router chose it.
     server_replacements: u64,
-    /// Set when the request is finished; never set for a probe.
-    request_finished: Rc<Latch>,
+    /// Signals of the request's end; never set for a probe.
+    end_signals: Rc<EndSignals>,
     /// Notified when the router cancels the attempt.
     pub cancelled: Rc<Notify>,
     /// Progress of the attempt, which decides whether a failed statement may have been executed.
@@ -148,7 +147,7 @@
             deadline,
             arrive_by,
             server_replacements: server.replacements,
-            request_finished: request.map(|r| r.finished.clone()).unwrap_or_default(),
+            end_signals: request.map(|r| r.end_signals.clone()).unwrap_or_default(),
             cancelled,
             progress: Cell::new(Progress::NotConnected),
             delivered_at: Cell::new(None),
@@ -235,7 +234,7 @@
     /// the client connected, the server's listing is unchanged, the endpoint list's lease is valid, and the time
     /// by which the statement must arrive has not passed.
     pub fn may_start(&self) -> bool {
-        !self.request_finished.is_set()
+        !self.end_signals.finished.is_set()
             && now() <= self.arrive_by.unwrap_or(self.deadline)
             && self
                 .client
@@ -253,6 +252,19 @@
         }
     }
 
+    /// Waits until the statement must be withdrawn unless it has arrived whole, and returns why: the time by which it must
+    /// have arrived has come, or its client has left.
+    pub async fn withdrawal_due(&self) -> Cause {
+        tokio::select! {
+            biased;
+            () = self.arrival_deadline() => Cause::ArrivalTimedOut,
+            () = self.end_signals.client_left.wait() => {
+                sleep(ARRIVAL_GRACE).await;
+                Cause::NoLongerNeeded
+            }
+        }
+    }
+
     /// How far the statement has come, where `unacknowledged_bytes` of what was written are not acknowledged.
     pub fn delivery(&self, unacknowledged_bytes: usize) -> Delivery {
         Delivery::new(self.progress.get(), unacknowledged_bytes)
@@ -260,8 +272,8 @@
 
     /// Logs that the statement is withdrawn from its server, as it has not arrived whole in time, and returns the error
     /// with which the attempt ends.
-    pub fn on_arrival_timed_out(&self) -> AttemptError {
-        let error = self.error(Cause::ArrivalTimedOut);
+    pub fn on_withdrawn(&self, cause: Cause) -> AttemptError {
+        let error = self.error(cause);
         if let AttemptKind::Request { request, number } = self.kind {
             let withdrawn = WithdrawnStatement {
                 server: self.server,
@@ -306,7 +318,7 @@
 
     /// Waits until the request is finished, so that it needs no attempt any more.
     pub async fn request_finished(&self) {
-        self.request_finished.wait().await;
+        self.end_signals.finished.wait().await;
     }
 
     /// Creates an error from a cause and the attempt's present progress.
--- a/crates/engine/src/attempt_error.rs
+++ b/crates/engine/src/attempt_error.rs
@@ -31,7 +31,8 @@
     TooSlow,
     /// The router cancelled the attempt.
     Cancelled,
-    /// The attempt was no longer valid when it was about to start, see `Attempt::may_start`.
+    /// The attempt was no longer valid when it was about to start, see `Attempt::may_start`, or its client left before the
+    /// statement had arrived.
     NoLongerNeeded,
     /// The server answered that it accepts no more connections.
     ConnectionRejected,
@@ -57,7 +58,7 @@
                 true,
                 Cause::NoConnectionPossible | Cause::NoLongerNeeded | Cause::ArrivalTimedOut,
             ) => AttemptOutcome::NotSent,
-            (_, Cause::Cancelled) => AttemptOutcome::Cancelled,
+            (_, Cause::Cancelled) | (false, Cause::NoLongerNeeded) => AttemptOutcome::Cancelled,
             (true, Cause::ConnectionRejected) => AttemptOutcome::Overloaded,
             (true, _) => AttemptOutcome::NotConnected,
             (false, Cause::TimedOut) if failpoint_active("time-out-never-ran") => {
--- a/crates/engine/src/attempts.rs
+++ b/crates/engine/src/attempts.rs
@@ -43,7 +43,7 @@
             statement: open.statement.clone(),
             client: open.client.clone(),
             session: open.session,
-            finished: open.finished.clone(),
+            end_signals: open.end_signals.clone(),
             arrive_by,
         };
         drop(requests);
@@ -149,7 +149,7 @@
             return None;
         }
         open.mark_finished();
-        open.client_left = true;
+        open.end_signals.client_left.set();
         open.answer_sender = None;
         self.metrics.on_client_disconnected();
         Some(())
--- a/crates/engine/src/intake.rs
+++ b/crates/engine/src/intake.rs
@@ -66,11 +66,10 @@
         answer_sender: Some(answer_sender),
         client: client.clone(),
         idempotency: class.idempotency,
-        finished: Rc::default(),
+        end_signals: Rc::default(),
         attempts: Attempts::default(),
         write_ticket: None,
         possibly_executed: false,
-        client_left: false,
     }
 }
 
--- a/crates/engine/src/request_table.rs
+++ b/crates/engine/src/request_table.rs
@@ -50,6 +50,16 @@
     }
 }
 
+/// Signals of a request's end, for which its attempts wait.
+#[derive(Default)]
+pub(crate) struct EndSignals {
+    /// Set together with `RequestUsage::finished`: the request needs no more attempts, as it has its final answer or its
+    /// client has disconnected.
+    pub(crate) finished: Latch,
+    /// Set where its client has disconnected or cancelled it before its final answer.
+    pub(crate) client_left: Latch,
+}
+
 /// A request that has no final answer yet or has outstanding attempts.
 pub(crate) struct OpenRequest {
     /// Decides when its index and its session may be reused.
@@ -61,23 +71,19 @@
     pub(crate) answer_sender: Option<oneshot::Sender<FinalAnswer>>,
     pub(crate) client: Rc<ClientConnection>,
     pub(crate) idempotency: Idempotency,
-    /// Set together with `usage.finished`: it needs no more attempts, as it has its final answer or its client has
-    /// disconnected.
-    pub(crate) finished: Rc<Latch>,
+    pub(crate) end_signals: Rc<EndSignals>,
     pub(crate) attempts: Attempts,
     /// The ticket of the write's registration with its replica holders, until its outcome is reported to them.
     pub(crate) write_ticket: Option<u64>,
     /// Whether any finished attempt may have been executed.
     pub(crate) possibly_executed: bool,
-    /// Whether its client disconnected or cancelled it before its final answer.
-    pub(crate) client_left: bool,
 }
 
 impl OpenRequest {
     /// Records that the request needs no more attempts.
     pub(crate) fn mark_finished(&mut self) {
         self.usage.finished = true;
-        self.finished.set();
+        self.end_signals.finished.set();
     }
 
     /// Returns how the request has ended. A client that is gone by now has not read the answer, if there was one.
@@ -85,7 +91,7 @@
         RequestEnd {
             idempotency: self.idempotency,
             possibly_executed: self.possibly_executed,
-            client_left: self.client_left
+            client_left: self.end_signals.client_left.is_set()
                 || (self.statement.write && self.client.is_disconnected()),
         }
     }
--- a/crates/engine/src/statement_delivery.rs
+++ b/crates/engine/src/statement_delivery.rs
@@ -5,8 +5,16 @@
 //! again. A statement that must not arrive any more is withdrawn: its connection is reset, upon which this system discards
 //! what the other one has not acknowledged.
 
+use std::time::Duration;
+
 use crate::attempt_error::Progress;
 
+/// How long a statement may stay on its way after its client has left.
+///
+/// An attempt that begins over 0.1 s after its client has disconnected is a lost request. A system may hold an
+/// acknowledgement back for 40 ms, so a statement that has arrived is usually acknowledged by then.
+pub const ARRIVAL_GRACE: Duration = Duration::from_millis(60);
+
 /// How far a statement has come, as this side can tell. It only advances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[must_use]
--- a/crates/engine/tests/statement_delivery.rs
+++ b/crates/engine/tests/statement_delivery.rs
@@ -4,15 +4,13 @@
 use leverpoint_engine::statement_delivery::Delivery;
 use leverpoint_routing::api::AttemptOutcome;
 
-/// Outcome of an attempt that is withdrawn at this progress.
-fn outcome_of_withdrawal(progress: Progress) -> AttemptOutcome {
-    AttemptError {
-        progress,
-        cause: Cause::ArrivalTimedOut,
-    }
-    .outcome()
+/// Outcome of an attempt that is withdrawn at this progress for this reason.
+fn outcome_of_withdrawal(progress: Progress, cause: Cause) -> AttemptOutcome {
+    AttemptError { progress, cause }.outcome()
 }
 
+const WITHDRAWAL_CAUSES: [Cause; 2] = [Cause::ArrivalTimedOut, Cause::NoLongerNeeded];
+
 #[test]
 fn a_statement_that_is_not_written_whole_is_withdrawn_and_was_not_executed() {
     for progress in [Progress::NotConnected, Progress::NotWritten] {
@@ -21,7 +19,9 @@
             assert_eq!(delivery, Delivery::Incomplete);
             assert!(delivery.must_be_withdrawn());
         }
-        assert!(outcome_of_withdrawal(progress).never_executed());
+        for cause in WITHDRAWAL_CAUSES {
+            assert!(outcome_of_withdrawal(progress, cause).never_executed());
+        }
     }
 }
 
@@ -30,7 +30,9 @@
     let delivery = Delivery::new(Progress::Written, 1);
     assert_eq!(delivery, Delivery::Unacknowledged);
     assert!(delivery.must_be_withdrawn());
-    assert!(!outcome_of_withdrawal(Progress::Written).never_executed());
+    for cause in WITHDRAWAL_CAUSES {
+        assert!(!outcome_of_withdrawal(Progress::Written, cause).never_executed());
+    }
 }
 
 #[test]
--- a/crates/gateway/src/server/pool.rs
+++ b/crates/gateway/src/server/pool.rs
@@ -104,7 +104,7 @@
         let mut connection = tokio::select! {
             biased;
             // First, as the server may have begun to read again at the same moment.
-            () = attempt.arrival_deadline() => return Err(attempt.on_arrival_timed_out()),
+            () = attempt.arrival_deadline() => return Err(attempt.on_withdrawn(Cause::ArrivalTimedOut)),
             written = self.send_statement(attempt) => written?,
             // The server does not execute a statement that was sent incompletely.
             () = attempt.request_finished() => return Err(attempt.error(Cause::NoLongerNeeded)),
@@ -113,7 +113,7 @@
         let answer = tokio::select! {
             biased;
             answer = connection.read_answer(attempt, &self.client_connections) => answer?,
-            error = arrival_timeout(attempt, &stream) => return Err(error),
+            error = withdrawal(attempt, &stream) => return Err(error),
         };
         if answer.reusable {
             connection.idle_since = now();
@@ -243,15 +243,15 @@
     }
 }
 
-/// Waits until the attempt has to be withdrawn, as the statement, which was written to `stream`, has not arrived whole in
-/// time; never returns if it has.
-async fn arrival_timeout(attempt: &Attempt, stream: &WeakStream) -> AttemptError {
-    attempt.arrival_deadline().await;
+/// Waits until the statement, which was written to `stream`, has to be withdrawn as it has not arrived whole in time;
+/// never returns if it has.
+async fn withdrawal(attempt: &Attempt, stream: &WeakStream) -> AttemptError {
+    let cause = attempt.withdrawal_due().await;
     if attempt
         .delivery(stream.unacknowledged_bytes())
         .must_be_withdrawn()
     {
-        return attempt.on_arrival_timed_out();
+        return attempt.on_withdrawn(cause);
     }
     pending().await
 }
--- a/crates/gateway/tests/late_delivery.rs
+++ b/crates/gateway/tests/late_delivery.rs
@@ -22,6 +22,9 @@
 const MEDIUM_VALUE_BYTES: usize = 9 << 10;
 /// How long servers drop repeats of a key.
 const KEY_WINDOW: Duration = Duration::from_millis(1_000);
+/// When a server reads again after a client's disconnect: later than an attempt may begin then, which is 0.1 s, and earlier
+/// than an attempt times out.
+const HANG_AFTER_DISCONNECT: Duration = Duration::from_millis(500);
 
 fn slow_server() -> ManualServer {
     ManualServer::with_receive_buffer(Some(SERVER_RECEIVE_BUFFER))
@@ -144,3 +147,18 @@
     assert!(elapsed < 2 * KEY_WINDOW, "answered after {elapsed:?}");
     assert_eq!(second.read_statement(), None);
 }
+
+// Guards against a late effect: a write that stands in the send buffer when its client leaves and arrives afterwards.
+#[test]
+fn a_statement_that_has_not_arrived_when_its_client_leaves_is_withdrawn() {
+    let primary = slow_server();
+    let gateway = gateway(&primary, Settings::default());
+    let mut client = gateway.connect_client();
+    let write = long_insert(MEDIUM_VALUE_BYTES).replace("c=report", "c=order");
+    client.send(&query_message(&write));
+    let mut connection = primary.accept_ready();
+    wait_for_unread_bytes(&connection);
+    drop(client);
+    thread::sleep(HANG_AFTER_DISCONNECT);
+    assert_eq!(connection.read_statement().map(|text| text.len()), None);
+}
