Server connections: a killed gateway leaves no statement to arrive later

What callers saw: a gateway was killed while a write of 18 KiB stood in its system's send buffer, as the server did not read. The server read the whole write afterwards. Where gateways replicate keys, another one may have taken the client's retry by then, and the write of the dead one arrives whenever the server reads, inside the key's window or not.

Cause: the same as of the retry that arrives after its window: nothing ended the sending. A connection was reset only when the pool dropped it, and a killed process drops nothing.

Change: a connection to a server is set to end by a reset (SO_LINGER with 0 s) when it is opened, and closed in order only where everything written has been acknowledged when it is dropped. `reset_on_drop` becomes `set_reset_on_drop`.

Why it works: the kernel closes the sockets of a process that ends in whatever way, and discards the send buffer of one that is set so. A server's view of a connection whose bytes have all arrived and that is dropped is as before.

--- a/crates/gateway/src/client/mod.rs
+++ b/crates/gateway/src/client/mod.rs
@@ -149,7 +149,7 @@
     let _ = client.serve().await;
     if client.registration.is_evicted() {
         // A reset frees the kernel's buffers of the connection as well.
-        client.connection.reset_on_drop();
+        client.connection.set_reset_on_drop(true);
     }
 }
 
--- a/crates/gateway/src/io/connection.rs
+++ b/crates/gateway/src/io/connection.rs
@@ -97,9 +97,9 @@
         self.stream.unacknowledged_bytes()
     }
 
-    /// Makes the connection end with a reset when it is dropped; unsent bytes are discarded.
-    pub(crate) fn reset_on_drop(&self) {
-        self.stream.reset_on_drop();
+    /// Sets whether the connection ends with a reset, which discards unsent bytes, when it is dropped or the process ends.
+    pub(crate) fn set_reset_on_drop(&self, reset: bool) {
+        self.stream.set_reset_on_drop(reset);
     }
 
     /// Raises the input's bound for a message of `length` bytes; returns how long the reservation was waited for.
--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -31,10 +31,11 @@
 }
 
 impl Drop for ServerConnection {
-    /// Whatever has not arrived by now must never arrive: the attempt that wrote it has ended.
+    /// Closes the connection in order if all that was written has arrived. Otherwise it is reset: the attempt has ended,
+    /// so the rest of its statement must never arrive.
     fn drop(&mut self) {
-        if self.socket.unacknowledged_bytes() > 0 {
-            self.socket.reset_on_drop();
+        if self.socket.unacknowledged_bytes() == 0 {
+            self.socket.set_reset_on_drop(false);
         }
         increment(&self.metrics.servers.closed);
     }
@@ -56,6 +57,8 @@
         descriptor: DescriptorPermit,
     ) -> io::Result<Self> {
         let socket = BufferedConnection::connect(address, kernel_buffer).await?;
+        // Also where the process ends without dropping the connection.
+        socket.set_reset_on_drop(true);
         increment(&metrics.servers.opened);
         let mut connection = ServerConnection {
             socket,
--- a/crates/gateway/tests/late_delivery.rs
+++ b/crates/gateway/tests/late_delivery.rs
@@ -12,7 +12,7 @@
 use leverpoint_test_support::manual::{ManualConnection, ManualServer};
 use leverpoint_test_support::settings::Settings;
 use leverpoint_test_support::tcp_table::{TcpSocket, wait_for_socket};
-use leverpoint_test_support::wire::{insert, query_message, select};
+use leverpoint_test_support::wire::{WAIT_LIMIT, insert, query_message, select};
 
 /// Receive buffer of the servers' connections: what does not fit stays with the gateway until the server reads.
 const SERVER_RECEIVE_BUFFER: usize = 4 << 10;
@@ -73,6 +73,15 @@
     wait_for_socket(local, remote, TcpSocket::has_unread_bytes);
 }
 
+/// Waits until the server's system has received a reset of the connection. Panics after [`WAIT_LIMIT`].
+fn wait_for_reset(connection: &ManualConnection) {
+    let started_at = Instant::now();
+    while connection.stream.take_error().unwrap().is_none() {
+        assert!(started_at.elapsed() < WAIT_LIMIT, "no reset received");
+        thread::yield_now();
+    }
+}
+
 /// A first attempt of a keyed write of this length may have run; the next one begins at once, at a server that reads only
 /// when the key's window has ended. It must not get the statement then.
 fn check_retry_that_is_read_after_its_window(value_bytes: usize) {
@@ -162,3 +171,17 @@
     thread::sleep(HANG_AFTER_DISCONNECT);
     assert_eq!(connection.read_statement().map(|text| text.len()), None);
 }
+
+// Guards against a late effect: a statement that stands in the send buffer of a gateway that is killed.
+#[test]
+fn a_killed_gateway_leaves_no_statement_to_arrive_later() {
+    let primary = slow_server();
+    let gateway = gateway(&primary, Settings::default());
+    let mut client = gateway.connect_client();
+    client.send(&query_message(&long_insert(MEDIUM_VALUE_BYTES)));
+    let mut connection = primary.accept_ready();
+    wait_for_unread_bytes(&connection);
+    gateway.signal("-KILL");
+    wait_for_reset(&connection);
+    assert_eq!(connection.read_statement().map(|text| text.len()), None);
+}
--- a/crates/runtime/src/stream.rs
+++ b/crates/runtime/src/stream.rs
@@ -49,8 +49,8 @@
     fn try_write(&self, from: &[IoSlice<'_>]) -> io::Result<usize>;
     /// Closes the direction of writing; the peer reads the end after all bytes written before.
     fn shutdown_write(&self);
-    /// Makes a drop of this end discard the bytes in transit and reset the connection.
-    fn reset_on_drop(&self);
+    /// Sets whether a drop of this end discards the bytes in transit and resets the connection.
+    fn set_reset_on_drop(&self, reset: bool);
     /// Returns how many of the bytes written have not reached the peer yet.
     fn unacknowledged_bytes(&self) -> usize;
 }
@@ -186,11 +186,16 @@
         }
     }
 
-    /// Makes the drop of the connection discard unsent bytes and reset it instead of closing it in order.
-    pub fn reset_on_drop(&self) {
+    /// Sets whether the drop of the connection, or the end of the process, discards unsent bytes and resets it instead of
+    /// closing it in order.
+    pub fn set_reset_on_drop(&self, reset: bool) {
         match self {
-            Stream::Tcp(stream) => drop(SockRef::from(&**stream).set_linger(Some(Duration::ZERO))),
-            Stream::Simulated(end) => end.reset_on_drop(),
+            Stream::Tcp(stream) => {
+                let linger = reset.then_some(Duration::ZERO);
+                // A socket that can't be set any more has failed, so nothing is sent on it.
+                let _ = SockRef::from(&**stream).set_linger(linger);
+            }
+            Stream::Simulated(end) => end.set_reset_on_drop(reset),
         }
     }
 
--- a/crates/simulator/src/simulation.rs
+++ b/crates/simulator/src/simulation.rs
@@ -1045,8 +1045,8 @@
         }
     }
 
-    fn reset_on_drop(&self) {
-        self.state.borrow_mut().reset_on_drop = true;
+    fn set_reset_on_drop(&self, reset: bool) {
+        self.state.borrow_mut().reset_on_drop = reset;
     }
 
     fn unacknowledged_bytes(&self) -> usize {
