Engine: an attempt's server and its times are values of their own

Need: `Attempt` had 18 fields, five of them since the server and the limits were spread out; ROADMAP lists it among what is left of the clean-up.

Change: `AttemptServer` is kept whole and `AttemptTimes` holds start, timeout, deadline and the time of arrival; 13 fields remain, and the pool looks up idle connections by the server. Behaviour is unchanged.

--- a/crates/engine/src/attempt.rs
+++ b/crates/engine/src/attempt.rs
@@ -72,13 +72,28 @@
 }
 
 /// The server of an attempt, as listed when the router chose it.
-pub(crate) struct AttemptServer {
-    pub(crate) index: usize,
-    pub(crate) address: SocketAddr,
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptServer {
+    /// Index of the server.
+    pub index: usize,
+    /// Its address.
+    pub address: SocketAddr,
     /// How often the server had been replaced by then, see `Endpoints::replacements`.
     pub(crate) replacements: u64,
 }
 
+/// Start and limits of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptTimes {
+    started_at: Ticks,
+    /// Longest duration of the attempt.
+    pub timeout: Ticks,
+    /// When the attempt times out: `timeout` after it was created.
+    pub deadline: Instant,
+    /// Latest time at which the statement's last byte may arrive, if that is before the deadline.
+    arrive_by: Option<Instant>,
+}
+
 /// One attempt of a request, or a probe.
 ///
 /// # Invariants
@@ -87,24 +102,15 @@
 pub struct Attempt {
     engine: Rc<Engine>,
     kind: AttemptKind,
-    started_at: Ticks,
     finished: bool,
-    /// Index of the server.
-    pub server: usize,
-    /// Address of the server.
-    pub address: SocketAddr,
+    /// The server that gets the statement.
+    pub server: AttemptServer,
+    /// When the attempt was started, and its limits.
+    pub times: AttemptTimes,
     /// The statement; none for a probe.
     pub statement: Option<Rc<Statement>>,
     /// The client on whose behalf buffers for the answer are reserved; none for a probe.
     pub client: Option<Rc<ClientConnection>>,
-    /// Longest duration of the attempt.
-    pub timeout: Ticks,
-    /// When the attempt times out: `timeout` after it was created.
-    pub deadline: Instant,
-    /// Latest time at which the statement's last byte may arrive, if that is before the deadline.
-    arrive_by: Option<Instant>,
-    /// How often the server had been replaced when the router chose it.
-    server_replacements: u64,
     /// Signals of the request's end; never set for a probe.
     end_signals: Rc<EndSignals>,
     /// Notified when the router cancels the attempt.
@@ -135,18 +141,19 @@
         let arrive_by = request
             .map(|r| clock.instant(r.arrive_by))
             .filter(|arrive_by| *arrive_by < deadline);
+        let times = AttemptTimes {
+            started_at,
+            timeout,
+            deadline,
+            arrive_by,
+        };
         Attempt {
             kind,
-            started_at,
             finished: false,
-            server: server.index,
-            address: server.address,
+            server,
+            times,
             statement: request.map(|r| r.statement.clone()),
             client: request.map(|r| r.client.clone()),
-            timeout,
-            deadline,
-            arrive_by,
-            server_replacements: server.replacements,
             end_signals: request.map(|r| r.end_signals.clone()).unwrap_or_default(),
             cancelled,
             progress: Cell::new(Progress::NotConnected),
@@ -235,7 +242,7 @@
     /// by which the statement must arrive has not passed.
     pub fn may_start(&self) -> bool {
         !self.end_signals.finished.is_set()
-            && now() <= self.arrive_by.unwrap_or(self.deadline)
+            && now() <= self.times.arrive_by.unwrap_or(self.times.deadline)
             && self
                 .client
                 .as_ref()
@@ -246,7 +253,7 @@
 
     /// Waits until the statement must have arrived whole; never returns where the attempt's own deadline comes first.
     pub async fn arrival_deadline(&self) {
-        match self.arrive_by {
+        match self.times.arrive_by {
             Some(arrive_by) => sleep_until(arrive_by).await,
             None => pending().await,
         }
@@ -276,7 +283,7 @@
         let error = self.error(cause);
         if let AttemptKind::Request { request, number } = self.kind {
             let withdrawn = WithdrawnStatement {
-                server: self.server,
+                server: self.server.index,
                 attempt: number,
                 progress: error.progress,
             };
@@ -287,7 +294,7 @@
 
     /// Whether the server has not drained, moved, restarted or gone since the router chose it.
     pub fn is_server_unchanged(&self) -> bool {
-        self.engine.endpoints.replacements(self.server) == Some(self.server_replacements)
+        self.engine.endpoints.replacements(self.server.index) == Some(self.server.replacements)
     }
 
     /// Records that the statement, whose first byte was written at `begun_at`, was written whole.
@@ -299,7 +306,7 @@
             return;
         };
         let written = WrittenStatement {
-            server: self.server,
+            server: self.server.index,
             attempt: number,
             bytes: statement.text.len(),
             took: since(begun_at),
@@ -311,7 +318,7 @@
     pub fn on_copy_discarded(&self) {
         let engine = &self.engine;
         if let Some(suppressed) = engine.discarded_answer_limiter.admit(engine.clock.now()) {
-            slog::warn!(engine.log, "copy of an answer discarded"; "server" => self.server, "address" => self.address.to_string(),
+            slog::warn!(engine.log, "copy of an answer discarded"; "server" => self.server.index, "address" => self.server.address.to_string(),
                 "suppressed" => suppressed);
         }
     }
@@ -341,21 +348,21 @@
         let engine = &self.engine;
         // The time that the server's report takes after the row does not count as response time.
         let ended_at = self.delivered_at.get();
-        let elapsed = ended_at.unwrap_or_else(|| engine.clock.now()) - self.started_at;
+        let elapsed = ended_at.unwrap_or_else(|| engine.clock.now()) - self.times.started_at;
         engine.metrics.on_attempt_finished(outcome);
         let event = match self.kind {
             AttemptKind::Request { request, number } => {
                 EngineEvent::AttemptFinished(AttemptReport {
                     request,
                     number,
-                    server: self.server,
+                    server: self.server.index,
                     outcome,
                     elapsed,
                     reported,
                 })
             }
             AttemptKind::Probe => EngineEvent::ProbeFinished {
-                server: self.server,
+                server: self.server.index,
                 ok: outcome == AttemptOutcome::Answered,
                 reported,
             },
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -22,7 +22,9 @@
 use leverpoint_routing::router::Router;
 use leverpoint_runtime::{Instant, sleep_until};
 
-pub use crate::attempt::{Attempt, AttemptExecutor, ReportedParameters};
+pub use crate::attempt::{
+    Attempt, AttemptExecutor, AttemptServer, AttemptTimes, ReportedParameters,
+};
 use crate::clock::Clock;
 use crate::diagnostics::{ClosedClient, Diagnostics, LateAnswer};
 pub use crate::endpoints::EndpointEntry;
--- a/crates/gateway/src/server/answer_progress.rs
+++ b/crates/gateway/src/server/answer_progress.rs
@@ -31,15 +31,15 @@
             attempt,
             rate_checked,
             too_slow: false,
-            slow_detector: SlowResponseDetector::new(attempt.timeout),
+            slow_detector: SlowResponseDetector::new(attempt.times.timeout),
             started: now(),
-            deadline: attempt.deadline,
+            deadline: attempt.times.deadline,
         }
     }
 
     /// Records that a complete answer is withheld: the next one may take as long as the first.
     pub(super) fn on_answer_withheld(&mut self) {
-        self.slow_detector = SlowResponseDetector::new(self.attempt.timeout);
+        self.slow_detector = SlowResponseDetector::new(self.attempt.times.timeout);
     }
 
     /// Excludes a span in which the gateway did not read from the answer's rate.
@@ -108,7 +108,7 @@
             self.slow_detector.on_bytes_received(now, received - before);
         }
         let missing = length.saturating_sub(received);
-        let deadline = self.ticks(self.attempt.deadline);
+        let deadline = self.ticks(self.attempt.times.deadline);
         if self.slow_detector.cannot_finish(now, missing, deadline) {
             self.too_slow = true;
             return Err(ErrorKind::TimedOut.into());
--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -113,6 +113,7 @@
     ) -> io::Result<()> {
         // Opening the connection may have taken part of the attempt's timeout.
         let remaining_ms = attempt
+            .times
             .deadline
             .saturating_duration_since(now())
             .as_millis();
--- a/crates/gateway/src/server/pool.rs
+++ b/crates/gateway/src/server/pool.rs
@@ -9,7 +9,6 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::future::pending;
 use std::io::ErrorKind;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,7 +16,7 @@
 use leverpoint_engine::attempt_error::{AttemptError, Cause, Progress};
 use leverpoint_engine::client_connections::ClientConnections;
 use leverpoint_engine::descriptor_budget::DescriptorBudget;
-use leverpoint_engine::engine::{Attempt, AttemptExecutor};
+use leverpoint_engine::engine::{Attempt, AttemptExecutor, AttemptServer};
 use leverpoint_engine::metrics::{Metrics, increment};
 use leverpoint_routing::api::{AttemptOutcome, Ticks};
 use leverpoint_runtime::{
@@ -76,7 +75,7 @@
         let result = tokio::select! {
             biased;
             result = self.run_on_connection(&attempt) => result,
-            () = sleep_until(attempt.deadline), if !failpoint_active("dispatch-without-end") => {
+            () = sleep_until(attempt.times.deadline), if !failpoint_active("dispatch-without-end") => {
                 Err(attempt.error(Cause::TimedOut))
             }
             () = attempt.cancelled.notified() => Err(attempt.error(Cause::Cancelled)),
@@ -127,7 +126,7 @@
         if attempt.is_server_unchanged() {
             self.idle
                 .borrow_mut()
-                .entry(attempt.server)
+                .entry(attempt.server.index)
                 .or_default()
                 .push_back(connection);
         }
@@ -138,7 +137,7 @@
     /// If an idle connection fails before a byte was sent, another one is used.
     async fn send_statement(&self, attempt: &Attempt) -> Result<ServerConnection, AttemptError> {
         loop {
-            let idle = self.take_idle(attempt.server, attempt.address);
+            let idle = self.take_idle(&attempt.server);
             let reused = idle.is_some();
             let mut connection = match idle {
                 Some(connection) => connection,
@@ -167,12 +166,12 @@
     }
 
     /// Takes the most recently used idle connection that is still open, and closes those that are not.
-    fn take_idle(&self, server: usize, address: SocketAddr) -> Option<ServerConnection> {
+    fn take_idle(&self, server: &AttemptServer) -> Option<ServerConnection> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&server)?;
+        let connections = idle.get_mut(&server.index)?;
         while let Some(mut connection) = connections.pop_back() {
-            let is_current =
-                connection.address == address && since(connection.idle_since) < self.idle_timeout;
+            let is_current = connection.address == server.address
+                && since(connection.idle_since) < self.idle_timeout;
             if is_current && connection.has_no_input_in_kernel() {
                 return Some(connection);
             }
@@ -192,7 +191,7 @@
         match timeout_at(
             deadline,
             ServerConnection::open(
-                attempt.address,
+                attempt.server.address,
                 self.kernel_buffer(),
                 &self.metrics,
                 descriptor,
